--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,7 @@
+//! The operators' command line `mimosausher`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    mimosausher_cli::run()
+}
--- /dev/null
+++ b/crates/daemon/src/admin.rs
@@ -0,0 +1,178 @@
+//! The HTTP face for operators, endpoints and monitors.
+
+use std::rc::Rc;
+
+use codes::Code;
+use http_body_util::{
+    BodyExt,
+    Full,
+    Limited, //
+};
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::{
+        Bytes,
+        Incoming, //
+    },
+    header::{
+        CONTENT_TYPE,
+        HeaderValue, //
+    },
+};
+use serde::{
+    Serialize,
+    de::DeserializeOwned, //
+};
+use wire::{
+    Announcement,
+    Datagram,
+    Edit,
+    Outcome, //
+};
+
+use crate::{
+    convert,
+    datagrams,
+    follower,
+    http::Handler,
+    node::Node,
+    refusal::Refusal, //
+};
+
+/// Largest body that this face takes, in bytes.
+const BODY_BYTES: usize = 4 * 1024 * 1024;
+
+/// What an instance says of itself and of those that it knows.
+#[derive(Debug, Serialize)]
+struct Status {
+    endpoints: usize,
+    instance: wire::Instance,
+    instances: Vec<wire::Instance>,
+    ready: bool,
+    revision: u64,
+}
+
+/// Answers operators, endpoints and monitors.
+#[derive(Clone, Debug)]
+pub struct Admin {
+    node: Rc<Node>,
+}
+
+impl Admin {
+    /// Creates the face of a node.
+    pub const fn new(node: Rc<Node>) -> Self {
+        Self { node }
+    }
+}
+
+impl Handler for Admin {
+    type Body = Full<Bytes>;
+
+    fn handle(
+        &self,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Response<Self::Body>> + 'static {
+        route(self.node.clone(), request)
+    }
+}
+
+async fn route(node: Rc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::GET, "/healthz") => text(StatusCode::OK, "alive\n"),
+        (&Method::GET, "/metrics") => text(StatusCode::OK, &node.metrics.text()),
+        (&Method::GET, "/readyz") if node.ready() => text(StatusCode::OK, "ready\n"),
+        (&Method::GET, "/readyz") => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        (&Method::GET, "/v1/document") => json(&node.configuration.borrow().sections()),
+        (&Method::GET, "/v1/endpoints") => json(&endpoints(&node)),
+        (&Method::GET, "/v1/status") => json(&status(&node)),
+        (&Method::POST, "/v1/announcements") => announce(&node, request).await,
+        (&Method::POST, "/v1/edits") => edit(&node, request).await,
+        _ => text(StatusCode::NOT_FOUND, "no such page\n"),
+    }
+}
+
+async fn announce(node: &Node, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let code = Code::AnnouncementMalformed;
+    let announcement: Announcement = match read(request, code).await {
+        Ok(announcement) => announcement,
+        Err(refusal) => return refuse(node, code, refusal),
+    };
+    let endpoint = convert::endpoint(announcement.clone());
+    let taken = node.directory.borrow_mut().announce(node.now(), endpoint);
+    match taken {
+        Ok(_) => {
+            datagrams::tell(node, &Datagram::Announcement(announcement)).await;
+            text(StatusCode::NO_CONTENT, "")
+        }
+        Err(code) => refuse(node, code, Refusal::new(code, &*announcement.name)),
+    }
+}
+
+async fn edit(node: &Rc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let code = Code::SyntaxInvalid;
+    match read::<Edit>(request, code).await {
+        Ok(edit) => {
+            let outcome = follower::edit(node, edit).await;
+            if let Outcome::Refused { code, .. } = &outcome {
+                node.metrics.refuse(*code);
+            }
+            json(&outcome)
+        }
+        Err(refusal) => refuse(node, code, refusal),
+    }
+}
+
+fn endpoints(node: &Node) -> Vec<Announcement> {
+    let directory = node.directory.borrow();
+    let mut endpoints: Vec<_> = directory
+        .iter()
+        .map(|(_, endpoint)| convert::announcement(endpoint))
+        .collect();
+    endpoints.sort_by(|one, other| one.name.cmp(&other.name));
+    endpoints
+}
+
+fn status(node: &Node) -> Status {
+    Status {
+        endpoints: node.directory.borrow().iter().count(),
+        instance: node.describe(),
+        instances: node
+            .members
+            .borrow()
+            .iter()
+            .map(convert::heartbeat)
+            .collect(),
+        ready: node.ready(),
+        revision: node.configuration.borrow().revision(),
+    }
+}
+
+async fn read<T: DeserializeOwned>(request: Request<Incoming>, code: Code) -> Result<T, Refusal> {
+    let body = Limited::new(request.into_body(), BODY_BYTES)
+        .collect()
+        .await
+        .map_err(|error| Refusal::new(code, error.to_string()))?;
+    serde_json::from_slice(&body.to_bytes()).map_err(|error| Refusal::new(code, error.to_string()))
+}
+
+fn refuse(node: &Node, code: Code, refusal: Refusal) -> Response<Full<Bytes>> {
+    node.metrics.refuse(code);
+    log::info!(code = code.number(); "refused: {}", refusal.advice);
+    refusal.response(StatusCode::BAD_REQUEST)
+}
+
+fn json<T: Serialize>(value: &T) -> Response<Full<Bytes>> {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+fn text(status: StatusCode, body: &str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body.to_owned())));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/connections.rs
@@ -0,0 +1,74 @@
+//! Idle connections to endpoints.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    io,
+    net::SocketAddr, //
+};
+
+use compio::net::TcpStream;
+use cyper_core::HyperStream;
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{
+        SendRequest,
+        handshake, //
+    },
+};
+
+/// Most idle connections kept to one endpoint.
+const IDLE_CONNECTIONS: usize = 32;
+
+/// Idle connections to endpoints, by address.
+#[derive(Debug, Default)]
+pub struct Connections {
+    idle: RefCell<BTreeMap<SocketAddr, Vec<SendRequest<Incoming>>>>,
+}
+
+impl Connections {
+    /// Creates an empty pool.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes an idle connection that is still open.
+    pub fn take(&self, address: SocketAddr) -> Option<SendRequest<Incoming>> {
+        let mut idle = self.idle.borrow_mut();
+        let senders = idle.get_mut(&address)?;
+        while let Some(sender) = senders.pop() {
+            if sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection for a later request, if it is open.
+    pub fn keep(&self, address: SocketAddr, sender: SendRequest<Incoming>) {
+        let mut idle = self.idle.borrow_mut();
+        let senders = idle.entry(address).or_default();
+        if !sender.is_closed() && senders.len() < IDLE_CONNECTIONS {
+            senders.push(sender);
+        }
+    }
+
+    /// Opens a new connection.
+    ///
+    /// # Errors
+    ///
+    /// What the system reported; nothing of a request has been sent.
+    pub async fn open(&self, address: SocketAddr) -> io::Result<SendRequest<Incoming>> {
+        let stream = TcpStream::connect(address).await?;
+        let (sender, connection) = handshake(HyperStream::new_plain(stream))
+            .await
+            .map_err(io::Error::other)?;
+        compio::runtime::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("a connection to {address} ended early: {error}");
+            }
+        })
+        .detach();
+        Ok(sender)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,30 @@
+//! The daemon: ports, roles and the one loop.
+//!
+//! All tasks of a process run on one thread and share one [`Node`](node::Node). The decisions are
+//! made by the state machines of the other packages; this one moves bytes between them and the
+//! sockets, the disk and the clock.
+
+mod admin;
+mod configuration;
+mod connections;
+mod convert;
+mod datagrams;
+mod error;
+mod exit;
+mod fabric;
+mod follower;
+mod http;
+mod inner;
+mod listeners;
+mod logs;
+mod metrics;
+mod node;
+mod options;
+mod refusal;
+mod replica;
+mod requests;
+mod run;
+mod stop;
+mod tracked;
+
+pub use crate::run::run;
--- /dev/null
+++ b/crates/daemon/src/logs.rs
@@ -0,0 +1,42 @@
+//! The log: one JSON object a line on standard error.
+
+use flexi_logger::{
+    FlexiLoggerError,
+    LogSpecification,
+    Logger,
+    LoggerHandle,
+    json_format, //
+};
+use log::LevelFilter;
+use settings::{
+    Level,
+    Log, //
+};
+
+/// Starts the log with the levels of the settings; it ends when the handle is dropped.
+///
+/// # Errors
+///
+/// What the logger reported.
+pub fn start(settings: &Log) -> Result<LoggerHandle, FlexiLoggerError> {
+    let mut specification = LogSpecification::builder();
+    specification.default(filter(settings.level));
+    for (target, level) in &settings.targets {
+        specification.module(&**target, filter(*level));
+    }
+    Logger::with(specification.build())
+        .log_to_stderr()
+        .format(json_format)
+        .start()
+}
+
+const fn filter(level: Level) -> LevelFilter {
+    match level {
+        Level::Debug => LevelFilter::Debug,
+        Level::Error => LevelFilter::Error,
+        Level::Info => LevelFilter::Info,
+        Level::Off => LevelFilter::Off,
+        Level::Trace => LevelFilter::Trace,
+        Level::Warn => LevelFilter::Warn,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,7 @@
+//! The daemon `mimosausherd`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    mimosausher_daemon::run()
+}
--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,129 @@
+//! What all tasks of the process share.
+
+use std::{
+    cell::{
+        OnceCell,
+        RefCell, //
+    },
+    rc::Rc,
+    time::{
+        Duration,
+        Instant,
+        SystemTime, //
+    },
+};
+
+use compio::net::UdpSocket;
+use directory::{
+    Directory,
+    EndpointKey, //
+};
+use dispatch::Dispatch;
+use event_listener::Event;
+use membership::Members;
+use settings::Settings;
+use wire::Addresses;
+
+use crate::{
+    configuration::Configuration,
+    connections::Connections,
+    error::Error,
+    metrics::Metrics,
+    replica::Replica,
+    stop::Stop, //
+};
+
+/// What all tasks of the process share. No borrow of a cell is held across an await.
+#[derive(Debug)]
+pub struct Node {
+    /// Where the instance is reached.
+    pub addresses: Addresses,
+    /// Notified when the replica has changed.
+    pub changed: Event,
+    /// The document in force.
+    pub configuration: RefCell<Configuration>,
+    /// Idle connections to endpoints.
+    pub connections: Connections,
+    /// The endpoints.
+    pub directory: RefCell<Directory>,
+    /// The requests that run.
+    pub dispatch: RefCell<Dispatch<EndpointKey>>,
+    /// Grows with each start of the process.
+    pub incarnation: u64,
+    /// The other instances.
+    pub members: RefCell<Members>,
+    /// The metrics.
+    pub metrics: Metrics,
+    /// The replica of the configuration; stores only.
+    pub replica: Option<RefCell<Replica>>,
+    /// The settings.
+    pub settings: Settings,
+    /// The socket for datagrams to other instances; set once at the start.
+    pub socket: OnceCell<Rc<UdpSocket>>,
+    /// The planned stop.
+    pub stop: Stop,
+    start: Instant,
+}
+
+impl Node {
+    /// Creates what the tasks of a new process share.
+    ///
+    /// # Errors
+    ///
+    /// Any failure of the data folder.
+    pub fn new(settings: Settings, addresses: Addresses) -> Result<Self, Error> {
+        let replica = match &settings.data {
+            Some(folder) => Some(RefCell::new(Replica::open(folder)?)),
+            None => None,
+        };
+        let incarnation = epoch_millis();
+        Ok(Self {
+            addresses,
+            changed: Event::new(),
+            configuration: RefCell::new(Configuration::new()),
+            connections: Connections::new(),
+            directory: RefCell::new(Directory::new()),
+            dispatch: RefCell::new(Dispatch::new(rand::random())),
+            incarnation,
+            members: RefCell::new(Members::new(&settings.instance.name)),
+            metrics: Metrics::new(),
+            replica,
+            settings,
+            socket: OnceCell::new(),
+            start: Instant::now(),
+            stop: Stop::default(),
+        })
+    }
+
+    /// Time since the process started.
+    pub fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// The instance as its heartbeats describe it.
+    pub fn describe(&self) -> wire::Instance {
+        wire::Instance {
+            addresses: self.addresses,
+            centre: self.settings.instance.centre.clone(),
+            incarnation: self.incarnation,
+            name: self.settings.instance.name.clone(),
+            store: self.replica.is_some(),
+        }
+    }
+
+    /// Whether the instance can serve: it has a document in force and is not stopping.
+    pub fn ready(&self) -> bool {
+        let stored = self.replica.is_some();
+        let revision = self.configuration.borrow().revision();
+        (stored || revision > 0) && !self.stop.begun()
+    }
+}
+
+/// Milliseconds since the Unix epoch.
+pub fn epoch_millis() -> u64 {
+    SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .ok()
+        .and_then(|elapsed| u64::try_from(elapsed.as_millis()).ok())
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/daemon/src/refusal.rs
@@ -0,0 +1,74 @@
+//! Refusals as they are answered over HTTP.
+
+use codes::Code;
+use http_body_util::Full;
+use hyper::{
+    Response, StatusCode,
+    body::Bytes,
+    header::{
+        CONTENT_TYPE,
+        HeaderName,
+        HeaderValue,
+        RETRY_AFTER, //
+    },
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Header with the number of the result code.
+pub const CODE_HEADER: HeaderName = HeaderName::from_static("mimosausher-code");
+
+/// Header that says whether the request may have run: `not`, `may` or `ran`.
+pub const RUN_HEADER: HeaderName = HeaderName::from_static("mimosausher-run");
+
+/// Time after which a refused caller may come back, in seconds.
+const RETRY_SECONDS: u16 = 1;
+
+/// The body of a refusal.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Refusal {
+    /// What is wrong, and where.
+    pub advice: Box<str>,
+    /// Number of the result code.
+    pub code: u16,
+    /// What the code means.
+    pub meaning: Box<str>,
+    /// Whether the request may have run.
+    pub run: codes::Run,
+}
+
+impl Refusal {
+    /// Creates a refusal with its code and advice.
+    pub fn new(code: Code, advice: impl Into<Box<str>>) -> Self {
+        Self {
+            advice: advice.into(),
+            code: code.number(),
+            meaning: code.meaning().into(),
+            run: code.run(),
+        }
+    }
+
+    /// The refusal as an HTTP response.
+    pub fn response(&self, status: StatusCode) -> Response<Full<Bytes>> {
+        let body = serde_json::to_vec(self).unwrap_or_default();
+        let mut response = Response::new(Full::new(Bytes::from(body)));
+        *response.status_mut() = status;
+        let headers = response.headers_mut();
+        headers.insert(CODE_HEADER, HeaderValue::from(self.code));
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        headers.insert(
+            RUN_HEADER,
+            HeaderValue::from_static(match self.run {
+                codes::Run::May => "may",
+                codes::Run::Not => "not",
+                codes::Run::Ran => "ran",
+            }),
+        );
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            headers.insert(RETRY_AFTER, HeaderValue::from(RETRY_SECONDS));
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,145 @@
+//! Starting, running and stopping the daemon.
+
+use std::{
+    ffi::OsString,
+    path::Path,
+    process::ExitCode,
+    rc::Rc, //
+};
+
+use compio::runtime::{
+    Runtime,
+    spawn, //
+};
+use gumdrop::{
+    Options as _,
+    ParsingStyle, //
+};
+use miette::Report;
+use settings::Settings;
+
+use crate::{
+    admin::Admin,
+    datagrams,
+    error::Error,
+    exit::Exit,
+    fabric,
+    follower,
+    http,
+    inner,
+    listeners::Listeners,
+    logs,
+    node::Node,
+    options::Options,
+    requests::Requests, //
+};
+
+/// Number of the signal for a planned stop.
+const SIGTERM: i32 = 15;
+
+/// Runs the daemon as the command line says.
+pub fn run() -> ExitCode {
+    let words: Vec<_> = std::env::args_os()
+        .skip(1)
+        .map(OsString::into_string)
+        .map(|word| word.unwrap_or_else(|word| word.to_string_lossy().into_owned()))
+        .collect();
+    match Options::parse_args(&words, ParsingStyle::AllOptions) {
+        Ok(options) => command(&options).into(),
+        Err(error) => {
+            eprintln!("mimosausherd: {error}");
+            Exit::Usage.into()
+        }
+    }
+}
+
+fn command(options: &Options) -> Exit {
+    if options.help {
+        println!(
+            "Usage: mimosausherd [OPTIONS] SETTINGS\n\n{}",
+            Options::usage()
+        );
+        return Exit::Success;
+    }
+    if options.version {
+        println!("mimosausherd {}", env!("CARGO_PKG_VERSION"));
+        return Exit::Success;
+    }
+    let Some(path) = &options.settings else {
+        eprintln!("mimosausherd: a settings file is needed; see --help");
+        return Exit::Usage;
+    };
+    let settings = match Settings::read(Path::new(path)) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{:?}", Report::new(error));
+            return Exit::Settings;
+        }
+    };
+    if options.check {
+        return Exit::Success;
+    }
+    match start(settings) {
+        Ok(()) => Exit::Success,
+        Err(error) => {
+            eprintln!("mimosausherd: {error}");
+            Exit::Failure
+        }
+    }
+}
+
+fn start(settings: Settings) -> Result<(), Error> {
+    let _log = logs::start(&settings.log)?;
+    let timers = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()
+        .map_err(Error::Runtime)?;
+    let _entered = timers.enter();
+    let runtime = Runtime::new().map_err(Error::Runtime)?;
+    runtime.block_on(serve(settings))
+}
+
+/// Runs all roles until the planned stop is done.
+async fn serve(settings: Settings) -> Result<(), Error> {
+    let listeners = Listeners::open(&settings.listen).await?;
+    let addresses = listeners.addresses().map_err(Error::Runtime)?;
+    let node = Rc::new(Node::new(settings, addresses)?);
+    let socket = Rc::new(listeners.datagrams);
+    // The cell is empty: this is the only place that sets it.
+    let _set = node.socket.set(socket.clone());
+    spawn(datagrams::receive(node.clone(), socket)).detach();
+    spawn(datagrams::beat(node.clone())).detach();
+    spawn(inner::accept(node.clone(), listeners.calls)).detach();
+    spawn(follower::follow(node.clone())).detach();
+    spawn(stop_on_signal(node.clone())).detach();
+    let admin = http::serve(node.clone(), listeners.admin, Admin::new(node.clone()));
+    let admin = spawn(admin);
+    let callers = listeners.faces.map(|faces| {
+        spawn(fabric::forward(node.clone(), faces.fabric)).detach();
+        let handler = Requests::new(node.clone());
+        spawn(http::serve(node.clone(), faces.requests, handler))
+    });
+    if let Ok(line) = serde_json::to_string(&node.addresses) {
+        println!("{line}");
+    }
+    log::info!(name = &*node.settings.instance.name; "started");
+    if let Some(callers) = callers {
+        let _ended = callers.await;
+    }
+    let _ended = admin.await;
+    log::info!("stopped");
+    Ok(())
+}
+
+async fn stop_on_signal(node: Rc<Node>) {
+    if let Err(error) = compio::signal::unix::signal(SIGTERM).await {
+        log::error!("no signals can be received: {error}");
+        return;
+    }
+    log::info!("stopping");
+    node.stop.begin();
+    // Later signals are taken too, so that none of them ends the process early.
+    while compio::signal::unix::signal(SIGTERM).await.is_ok() {
+        log::info!("already stopping");
+    }
+}
--- /dev/null
+++ b/crates/steering/src/packet.rs
@@ -0,0 +1,76 @@
+//! The headers of one packet.
+
+use etherparse::{
+    IpNumber,
+    IpSlice,
+    TcpSlice,
+    UdpSlice, //
+};
+
+use crate::{
+    error::Error,
+    flow::{
+        Destination,
+        Flow,
+        Transport, //
+    },
+};
+
+/// What steering reads from one packet's headers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Packet {
+    /// The flow that it belongs to.
+    pub flow: Flow,
+    /// Whether it opens a TCP connection: SYN without ACK.
+    pub opens: bool,
+}
+
+impl Packet {
+    /// Reads the headers of an IP packet.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Truncated`] if it ends before its headers do, [`Error::Protocol`] if it is a
+    /// fragment or carries neither TCP nor UDP.
+    pub fn parse(bytes: &[u8]) -> Result<Self, Error> {
+        let ip = IpSlice::from_slice(bytes).map_err(|_| Error::Truncated(bytes.len()))?;
+        let payload = ip.payload();
+        if payload.fragmented {
+            return Err(Error::Protocol);
+        }
+        let (source, destination) = (ip.source_addr(), ip.destination_addr());
+        match payload.ip_number {
+            IpNumber::TCP => match TcpSlice::from_slice(payload.payload) {
+                Err(_) => Err(Error::Truncated(bytes.len())),
+                Ok(tcp) => Ok(Self {
+                    flow: Flow {
+                        destination: Destination {
+                            ip: destination,
+                            port: tcp.destination_port(),
+                            transport: Transport::Tcp,
+                        },
+                        ip: source,
+                        port: tcp.source_port(),
+                    },
+                    opens: tcp.syn() && !tcp.ack(),
+                }),
+            },
+            IpNumber::UDP => match UdpSlice::from_slice(payload.payload) {
+                Err(_) => Err(Error::Truncated(bytes.len())),
+                Ok(udp) => Ok(Self {
+                    flow: Flow {
+                        destination: Destination {
+                            ip: destination,
+                            port: udp.destination_port(),
+                            transport: Transport::Udp,
+                        },
+                        ip: source,
+                        port: udp.source_port(),
+                    },
+                    opens: false,
+                }),
+            },
+            _ => Err(Error::Protocol),
+        }
+    }
+}
--- /dev/null
+++ b/crates/store/src/error.rs
@@ -0,0 +1,50 @@
+//! What can go wrong with the data folder.
+
+use std::{
+    io,
+    path::PathBuf, //
+};
+
+use codes::Code;
+use thiserror::Error as ThisError;
+
+/// A failure of the data folder.
+#[derive(Debug, ThisError)]
+pub enum Error {
+    /// A record before the last one is damaged.
+    #[error("{path:?} is damaged at byte {offset}", path = path)]
+    Damaged {
+        /// Where the damaged record starts, in bytes.
+        offset: u64,
+        /// The file.
+        path: PathBuf,
+    },
+    /// The system refused an operation on a file.
+    #[error("{path:?}: {cause}", path = path)]
+    Io {
+        /// What the system reported.
+        cause: io::Error,
+        /// The file.
+        path: PathBuf,
+    },
+    /// Another process uses the data folder.
+    #[error("{path:?} is used by another process", path = path)]
+    Locked {
+        /// The lock file.
+        path: PathBuf,
+    },
+}
+
+impl Error {
+    /// The numbered result code.
+    pub fn code(&self) -> Code {
+        match self {
+            Self::Damaged { .. } => Code::StorageDamaged,
+            Self::Io { cause, .. } if cause.kind() == io::ErrorKind::StorageFull => {
+                Code::StorageFull
+            }
+            Self::Io { .. } => Code::FileUnreadable,
+            Self::Locked { .. } => Code::StorageLocked,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/call.rs
@@ -0,0 +1,82 @@
+//! The calls between instances.
+
+use codes::Code;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// An operator's edit of one section.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Edit {
+    /// Who edits.
+    pub author: Box<str>,
+    /// Version of the section that the edit was made from; 0 for a new section.
+    pub base: u64,
+    /// Identifies the edit, so that it can be resent.
+    pub id: Box<str>,
+    /// Name of the section.
+    pub section: Box<str>,
+    /// Text of the section after the edit; empty to remove the section.
+    pub text: Box<str>,
+}
+
+/// What became of an edit.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Outcome {
+    /// It is synced to disk and will be in force everywhere.
+    Accepted {
+        /// Revision of the document.
+        revision: u64,
+        /// Version of the section.
+        version: u64,
+    },
+    /// It changed nothing.
+    Refused {
+        /// What is wrong, and where.
+        advice: Box<str>,
+        /// Why.
+        code: Code,
+        /// Version of the section in force.
+        version: u64,
+    },
+}
+
+/// A section's text and version.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct SectionText {
+    /// Name of the section.
+    pub name: Box<str>,
+    /// Its text.
+    pub text: Box<str>,
+    /// Its version.
+    pub version: u64,
+}
+
+/// What a follower asks for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Follow {
+    /// Revision that the follower has.
+    pub revision: u64,
+}
+
+/// A newer document for a follower.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Update {
+    /// Revision of the document.
+    pub revision: u64,
+    /// All its sections.
+    pub sections: Vec<SectionText>,
+}
+
+/// Calls that an instance answers to other instances.
+#[tarpc::service]
+pub trait Inner {
+    /// Accepts or refuses an edit; stores only.
+    async fn edit(edit: Edit) -> Outcome;
+
+    /// Waits for a document newer than the follower's; none if there is none for a while.
+    async fn follow(follow: Follow) -> Option<Update>;
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,44 @@
+//! The inner protocol between the system's processes.
+//!
+//! This is the only package that knows the bytes between instances: calls over TCP, as a
+//! `tarpc` service in `postcard` frames, and single datagrams over UDP.
+
+mod call;
+mod codec;
+mod connection;
+mod datagram;
+mod endpoint;
+mod error;
+mod instance;
+mod server;
+
+pub use crate::{
+    call::{
+        Edit,
+        Follow,
+        Inner,
+        InnerClient,
+        InnerRequest,
+        InnerResponse,
+        Outcome,
+        SectionText,
+        ServeInner,
+        Update, //
+    },
+    codec::Postcard,
+    connection::connect,
+    datagram::{
+        Datagram,
+        MAX_DATAGRAM_BYTES, //
+    },
+    endpoint::{
+        Announcement,
+        State, //
+    },
+    error::Error,
+    instance::{
+        Addresses,
+        Instance, //
+    },
+    server::serve, //
+};
