--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -20,6 +20,12 @@
     options::Apply, //
 };
 
+/// A section as it stands in the file.
+struct Change {
+    name: Box<str>,
+    text: Box<str>,
+}
+
 /// Sends one edit for each section that differs from the one in force.
 ///
 /// # Errors
@@ -30,13 +36,16 @@
     let texts = match &options.section {
         Some(name) => {
             Section::parse(&source)?;
-            vec![(name.as_str().into(), source.text().into())]
+            vec![Change {
+                name: name.as_str().into(),
+                text: source.text().into(),
+            }]
         }
         None => sections(&source)?,
     };
     let force: Vec<SectionText> = client.get("/v1/document").await?;
     let mut exit = Exit::Success;
-    for (name, text) in texts {
+    for Change { name, text } in texts {
         let known = force.iter().find(|section| section.name == name);
         if known.is_some_and(|section| section.text == text) {
             println!("section {name}: unchanged");
@@ -60,7 +69,7 @@
 }
 
 /// The sections of a whole document, each as its own text.
-fn sections(source: &Source) -> Result<Vec<(Box<str>, Box<str>)>, Error> {
+fn sections(source: &Source) -> Result<Vec<Change>, Error> {
     let document = Document::parse(source)?;
     let table: toml::Table = source.parse()?;
     let texts = table.get("section").and_then(toml::Value::as_table);
@@ -69,7 +78,10 @@
         .into_keys()
         .filter_map(|name| {
             let text = toml::to_string(texts?.get(&*name)?).ok()?;
-            Some((name, text.into()))
+            Some(Change {
+                name,
+                text: text.into(),
+            })
         })
         .collect())
 }
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -20,6 +20,7 @@
     instances: Vec<Instance>,
     ready: bool,
     revision: u64,
+    running: u32,
 }
 
 /// Prints the instance's state, then all instances in the order of their names.
@@ -34,10 +35,11 @@
         return Ok(());
     }
     println!(
-        "{}: revision {}, {} endpoints, {}",
+        "{}: revision {}, {} endpoints, {} requests running, {}",
         status.instance.name,
         status.revision,
         status.endpoints,
+        status.running,
         if status.ready { "ready" } else { "not ready" }
     );
     let mut instances = status.instances;
--- /dev/null
+++ b/crates/daemon/benches/path.rs
@@ -0,0 +1,189 @@
+//! What one entry costs: packets against a bare relay, requests against the direct way.
+
+#![allow(missing_docs, reason = "a benchmark has no public items")]
+
+use std::{
+    io::{
+        BufReader,
+        Write as _, //
+    },
+    net::{
+        SocketAddr,
+        SocketAddrV4,
+        TcpStream,
+        UdpSocket, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use compio::BufResult;
+use hdrhistogram::Histogram;
+use standin::{
+    Announcer,
+    Answer,
+    Cluster,
+    Endpoint,
+    Figure,
+    datagram, //
+};
+
+const SECTION: &str = r#"
+team = "bench"
+
+[[service]]
+name = "requests"
+mode = "requests"
+hosts = ["bench.example"]
+endpoints = ["*"]
+
+[[service]]
+name = "flows"
+mode = "flows"
+address = "203.0.113.10"
+port = 4000
+transport = "udp"
+endpoints = ["*"]
+"#;
+
+/// Packets that are under way at once.
+const WINDOW: usize = 32;
+
+/// Packets of one round.
+const PACKETS: usize = 60_000;
+
+/// Requests of one round.
+const REQUESTS: usize = 6_000;
+
+/// Rounds of each kind, the two ways taken in turns.
+const ROUNDS: usize = 3;
+
+fn main() {
+    let cluster = Cluster::new()
+        .and_then(|cluster| cluster.with_store("store-1", "porto-a"))
+        .and_then(|cluster| cluster.with_entry("entry-1", "porto-a"))
+        .unwrap();
+    let admin = cluster.entries[0].address("admin");
+    Cluster::edit(admin, "bench", "bench", 0, SECTION).unwrap();
+    let sink = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let receiver = sink.local_addr().unwrap();
+    let desk = Endpoint::start("requests-1", Duration::ZERO).unwrap();
+    let updates = Endpoint::start("flows-1", Duration::ZERO).unwrap();
+    let instances = cluster.faces("admin");
+    desk.announce(
+        Announcer::new("requests-1", "requests", desk.address),
+        instances.clone(),
+    );
+    updates.announce(Announcer::new("flows-1", "flows", receiver), instances);
+    cluster.await_revision(1).unwrap();
+    cluster.await_endpoints(2).unwrap();
+    packets(cluster.entries[0].address("fabric"), &sink);
+    requests(cluster.entries[0].address("requests"), desk.address);
+}
+
+fn packets(entry: SocketAddr, sink: &UdpSocket) {
+    let relay = relay(sink.local_addr().unwrap());
+    let (mut ours, mut bare) = (0.0_f64, 0.0_f64);
+    for _ in 0..ROUNDS {
+        bare = bare.max(rate(relay, sink));
+        ours = ours.max(rate(entry, sink));
+    }
+    Figure::new("path.packets", "entry", ours, "packets/s").print();
+    Figure::new("path.packets", "bare relay", bare, "packets/s").print();
+    Figure::new(
+        "path.relay_ratio",
+        "64-byte packets, target 0.8",
+        ours / bare,
+        "",
+    )
+    .print();
+}
+
+/// Packets a second through `hop` with a window of packets under way.
+fn rate(hop: SocketAddr, sink: &UdpSocket) -> f64 {
+    let source = UdpSocket::bind("127.0.0.1:0").unwrap();
+    sink.set_read_timeout(Some(Duration::from_millis(200)))
+        .unwrap();
+    let from = SocketAddrV4::new([127, 0, 0, 1].into(), 9);
+    let to = SocketAddrV4::new([203, 0, 113, 10].into(), 4000);
+    let bytes = datagram(from, to, &[0; 36]).unwrap();
+    let mut buffer = [0; 2048];
+    let (mut sent, mut received) = (0, 0);
+    let start = Instant::now();
+    while received < PACKETS {
+        while sent < PACKETS && sent - received < WINDOW {
+            source.send_to(&bytes, hop).unwrap();
+            sent += 1;
+        }
+        match sink.recv_from(&mut buffer) {
+            Ok(_) => received += 1,
+            Err(_) if sent == PACKETS => break,
+            Err(_) => sent = received,
+        }
+    }
+    received as f64 / start.elapsed().as_secs_f64()
+}
+
+/// Starts a relay on the same runtime as the daemon's that looks into no packet.
+fn relay(to: SocketAddr) -> SocketAddr {
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let address = socket.local_addr().unwrap();
+    thread::spawn(move || {
+        compio::runtime::Runtime::new().unwrap().block_on(async {
+            let socket = compio::net::UdpSocket::from_std(socket).unwrap();
+            let mut buffer = Vec::with_capacity(65_507);
+            loop {
+                let BufResult(received, filled) = socket.recv_from(buffer).await;
+                received.unwrap();
+                let BufResult(sent, returned) = socket.send_to(filled, to).await;
+                sent.unwrap();
+                buffer = returned;
+                buffer.clear();
+            }
+        });
+    });
+    address
+}
+
+fn requests(entry: SocketAddr, direct: SocketAddr) {
+    let mut rates = [0.0_f64; 2];
+    for _ in 0..ROUNDS {
+        for (rate, address) in rates.iter_mut().zip([direct, entry]) {
+            let histogram = exchange(address);
+            let case = if address == entry { "entry" } else { "direct" };
+            let total = histogram.mean() * histogram.len() as f64 / 1e9;
+            *rate = rate.max(histogram.len() as f64 / total);
+            for quantile in [0.5, 0.99] {
+                let value = histogram.value_at_quantile(quantile) as f64 / 1e3;
+                let figure = format!("path.request_p{}", quantile * 100.0);
+                Figure::new(&figure, case, value, "us").print();
+            }
+        }
+    }
+    let [direct, ours] = rates;
+    Figure::new("path.requests", "entry", ours, "requests/s").print();
+    Figure::new("path.requests", "direct", direct, "requests/s").print();
+    Figure::new("path.request_ratio", "one connection", ours / direct, "").print();
+}
+
+/// Sends requests one after another on one connection; the times are nanoseconds.
+fn exchange(address: SocketAddr) -> Histogram<u64> {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_nodelay(true).unwrap();
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    let mut histogram = Histogram::new(3).unwrap();
+    for _ in 0..REQUESTS {
+        let start = Instant::now();
+        stream
+            .write_all(b"GET / HTTP/1.1\r\nhost: bench.example\r\n\r\n")
+            .unwrap();
+        let answer = Answer::read(&mut reader).unwrap();
+        assert_eq!(answer.status, 200);
+        let elapsed = start.elapsed().as_nanos().try_into().unwrap();
+        histogram.record(elapsed).unwrap();
+    }
+    histogram
+}
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -50,6 +50,7 @@
     instances: Vec<wire::Instance>,
     ready: bool,
     revision: u64,
+    running: u32,
 }
 
 /// Answers operators, endpoints and monitors.
@@ -145,6 +146,7 @@
             .collect(),
         ready: node.ready(),
         revision: node.configuration.borrow().revision(),
+        running: node.dispatch.borrow().total(),
     }
 }
 
--- /dev/null
+++ b/crates/daemon/tests/path.rs
@@ -0,0 +1,173 @@
+//! The whole path through real processes on loopback.
+
+use std::{
+    io::Write as _,
+    net::{
+        SocketAddrV4,
+        TcpStream,
+        UdpSocket, //
+    },
+    sync::mpsc,
+    thread,
+    time::Duration, //
+};
+
+use standin::{
+    Announcer,
+    Caller,
+    Cluster,
+    Endpoint,
+    Fabric,
+    call, //
+};
+
+const SECTION: &str = r#"
+team = "booking"
+
+[[service]]
+name = "booking-desk"
+mode = "requests"
+hosts = ["booking.example"]
+endpoints = ["desk-*"]
+
+[[service]]
+name = "booking-updates"
+mode = "flows"
+address = "203.0.113.10"
+port = 4000
+transport = "udp"
+endpoints = ["updates-*"]
+"#;
+
+const DESTINATION: SocketAddrV4 = SocketAddrV4::new(std::net::Ipv4Addr::new(203, 0, 113, 10), 4000);
+
+fn cluster() -> Cluster {
+    let cluster = Cluster::new()
+        .and_then(|cluster| cluster.with_store("store-1", "porto-a"))
+        .and_then(|cluster| cluster.with_entry("entry-1", "porto-a"))
+        .and_then(|cluster| cluster.with_entry("entry-2", "porto-a"))
+        .unwrap();
+    let instance = cluster.entries[0].address("admin");
+    let answer = Cluster::edit(instance, "e1", "booking", 0, SECTION).unwrap();
+    assert_eq!(answer.text(), r#"{"accepted":{"revision":1,"version":1}}"#);
+    cluster.await_revision(1).unwrap();
+    cluster
+}
+
+fn endpoint(cluster: &Cluster, name: &str, service: &str, delay: Duration) -> Endpoint {
+    let endpoint = Endpoint::start(name, delay).unwrap();
+    let announcer = Announcer::new(name, service, endpoint.address);
+    endpoint.announce(announcer, cluster.faces("admin"));
+    endpoint
+}
+
+#[test]
+fn request_any_entry() {
+    let cluster = cluster();
+    let desk = endpoint(&cluster, "desk-1", "booking-desk", Duration::ZERO);
+    cluster.await_endpoints(1).unwrap();
+    for entry in cluster.faces("requests") {
+        let answer = call(entry, "GET /", &[("host", "booking.example")], b"").unwrap();
+        assert_eq!((answer.status, answer.text().as_str()), (200, "desk-1"));
+    }
+    assert_eq!(desk.served().requests.len(), 2);
+}
+
+#[test]
+fn flow_sprayed_packets() {
+    let cluster = cluster();
+    let _endpoints: Vec<_> = ["updates-1", "updates-2", "updates-3"]
+        .iter()
+        .map(|name| endpoint(&cluster, name, "booking-updates", Duration::ZERO))
+        .collect();
+    cluster.await_endpoints(3).unwrap();
+    let mut fabric = Fabric::new(&cluster.faces("fabric")).unwrap();
+    for _ in 0..16 {
+        let caller = Caller::new(DESTINATION).unwrap();
+        let (_, first) = caller.exchange(&mut fabric).unwrap();
+        let (_, second) = caller.exchange(&mut fabric).unwrap();
+        assert_eq!(first, second);
+    }
+}
+
+#[test]
+fn edit_restarted_store() {
+    let mut cluster = cluster();
+    cluster.stores[0].kill().unwrap();
+    cluster.stores[0].restart().unwrap();
+    let instance = cluster.stores[0].address("admin");
+    let answer = Cluster::edit(instance, "e1", "booking", 0, SECTION).unwrap();
+    assert_eq!(answer.text(), r#"{"accepted":{"revision":1,"version":1}}"#);
+}
+
+#[test]
+fn stop_running_request() {
+    let mut cluster = cluster();
+    let _desk = endpoint(
+        &cluster,
+        "desk-1",
+        "booking-desk",
+        Duration::from_millis(300),
+    );
+    cluster.await_endpoints(1).unwrap();
+    let entry = cluster.entries[1].address("requests");
+    let (sender, receiver) = mpsc::channel();
+    thread::spawn(move || {
+        let answer = call(entry, "GET /", &[("host", "booking.example")], b"");
+        sender.send(answer).unwrap();
+    });
+    Cluster::await_page(cluster.entries[1].address("admin"), "/v1/status", |page| {
+        page["running"].as_u64() == Some(1)
+    })
+    .unwrap();
+    let status = cluster.entries[1].stop().unwrap();
+    assert!(status.success());
+    let answer = receiver.recv().unwrap().unwrap();
+    assert_eq!(answer.text(), "desk-1");
+}
+
+#[test]
+fn refusal_malformed_input() {
+    let cluster = cluster();
+    let admin = cluster.entries[0].address("admin");
+    let answer = call(admin, "POST /v1/announcements", &[], b"{}").unwrap();
+    assert_eq!(answer.header("mimosausher-code"), Some("4001"));
+    let answer = Cluster::edit(admin, "e2", "booking", 0, "team = 3").unwrap();
+    assert!(answer.text().contains("\"EditConflict\""));
+    let answer = Cluster::edit(admin, "e3", "booking", 1, "team = 3").unwrap();
+    assert!(answer.text().contains("\"EditInvalid\""));
+    let fabric = cluster.entries[0].address("fabric");
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.send_to(&[0, 0], fabric).unwrap();
+    socket.send_to(&[0, 0, 8, 0, 0x45], fabric).unwrap();
+    socket.send_to(&[0, 0, 8, 6, 0x45], fabric).unwrap();
+    let requests = cluster.entries[0].address("requests");
+    let answer = call(requests, "GET /", &[("host", "other.example")], b"").unwrap();
+    assert_eq!(answer.header("mimosausher-code"), Some("3002"));
+    assert_eq!(answer.header("mimosausher-run"), Some("not"));
+    let answer = call(requests, "GET /", &[("host", "booking.example")], b"").unwrap();
+    assert_eq!(answer.header("mimosausher-code"), Some("3003"));
+    assert_eq!(answer.header("retry-after"), Some("1"));
+    let mut stream = TcpStream::connect(requests).unwrap();
+    stream.write_all(b"nonsense\r\n\r\n").unwrap();
+    let counted = |text: &str| {
+        [
+            "code=\"2001\"} 2",
+            "code=\"2002\"} 1",
+            "code=\"3002\"} 1",
+            "code=\"3003\"} 1",
+            "code=\"4001\"} 1",
+        ]
+        .iter()
+        .all(|row| text.contains(row))
+    };
+    let mut text = String::new();
+    for _ in 0..200 {
+        text = call(admin, "GET /metrics", &[], b"").unwrap().text();
+        if counted(&text) {
+            break;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert!(counted(&text), "{text}");
+}
--- a/crates/dispatch/src/dispatch.rs
+++ b/crates/dispatch/src/dispatch.rs
@@ -70,6 +70,11 @@
         self.running.get(&key).copied().unwrap_or_default()
     }
 
+    /// Requests that this entry has running at all endpoints.
+    pub fn total(&self) -> u32 {
+        self.running.values().sum()
+    }
+
     fn draw(&mut self, candidates: &[Candidate<K>]) -> Option<Candidate<K>> {
         match candidates.len() {
             0 => None,
--- a/examples/standin/src/endpoint.rs
+++ b/examples/standin/src/endpoint.rs
@@ -30,13 +30,27 @@
     TransportSlice, //
 };
 
+use crate::announcer::Announcer;
+
+/// Time between two announcements.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// A request that an endpoint has received.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Request {
+    /// Its idempotency key, if it had one.
+    pub key: Option<Box<str>>,
+    /// Its first line.
+    pub line: Box<str>,
+}
+
 /// What an endpoint has served, in order.
 #[derive(Clone, Debug, Default)]
 pub struct Served {
-    /// Request lines, each with its idempotency key if it had one.
-    pub requests: Vec<(Box<str>, Option<Box<str>>)>,
     /// Source ports of packets.
     pub packets: Vec<u16>,
+    /// Requests.
+    pub requests: Vec<Request>,
 }
 
 /// A running endpoint; it ends with the process, or when it is dropped.
@@ -81,6 +95,20 @@
         Ok(endpoint)
     }
 
+    /// Announces the endpoint to the first instance that takes it, again and again until the
+    /// endpoint is dropped.
+    pub fn announce(&self, mut announcer: Announcer, instances: Vec<SocketAddr>) {
+        let stop = self.stop.clone();
+        thread::spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                let _taken = instances
+                    .iter()
+                    .any(|instance| announcer.announce(*instance).is_ok());
+                thread::sleep(ANNOUNCE_INTERVAL);
+            }
+        });
+    }
+
     /// What it has served so far.
     pub fn served(&self) -> Served {
         guard(&self.served).clone()
@@ -153,13 +181,16 @@
     }
 }
 
-/// Reads one request and returns its first line and idempotency key.
-fn request(reader: &mut impl BufRead) -> io::Result<Option<(Box<str>, Option<Box<str>>)>> {
+/// Reads one request with its body; none if the caller has closed the connection.
+fn request(reader: &mut impl BufRead) -> io::Result<Option<Request>> {
     let mut first = String::new();
     if reader.read_line(&mut first)? == 0 {
         return Ok(None);
     }
-    let mut key = None;
+    let mut request = Request {
+        key: None,
+        line: first.trim_end().into(),
+    };
     let mut length = 0;
     loop {
         let mut text = String::new();
@@ -169,7 +200,7 @@
                 length = value.trim().parse().map_err(io::Error::other)?;
             }
             Some((name, value)) if name.eq_ignore_ascii_case("idempotency-key") => {
-                key = Some(value.trim().into());
+                request.key = Some(value.trim().into());
             }
             Some(_) => {}
             None => break,
@@ -177,5 +208,5 @@
     }
     let mut body = vec![0; length];
     reader.read_exact(&mut body)?;
-    Ok(Some((first.trim_end().into(), key)))
+    Ok(Some(request))
 }
--- a/examples/standin/src/lib.rs
+++ b/examples/standin/src/lib.rs
@@ -4,21 +4,31 @@
 
 mod announcer;
 mod caller;
+mod cluster;
+mod daemon;
 mod endpoint;
 mod fabric;
+mod figure;
 mod http;
 
 pub use crate::{
     announcer::Announcer,
     caller::Caller,
+    cluster::Cluster,
+    daemon::{
+        Daemon,
+        Signal, //
+    },
     endpoint::{
         Endpoint,
+        Request,
         Served, //
     },
     fabric::{
         Fabric,
         datagram, //
     },
+    figure::Figure,
     http::{
         Answer,
         call, //
