Membership by probe and suspicion, directory with bounded ages, and a relay of announcements

Cause: heartbeats went to everyone with the whole view, an announcement's age was unknown to the instances that it was passed on to, a late one could revive an endpoint, and an address could change hands while another entry still used it.

Ruled out: ages by wall clocks, which need not agree; ages from the time of receipt, which a paused instance gets wrong for all that waited in its socket. Each batch gives back the receiver's own last stamp, so that the receiver itself bounds the time on the way.

Change: Members probes one member a period, directly and then through others, suspects before it removes, and refutes by incarnation; a planned leave is told at once. Relay passes announcements on along a tree, around a shut path through a third.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -25,34 +25,23 @@
 };
 use wire::{
     Announcement,
-    Datagram,
     Edit,
     Outcome, //
 };
 
 use crate::{
-    convert,
     datagrams,
+    endpoints,
     follower,
     http::Handler,
     node::Node,
-    refusal::Refusal, //
+    refusal::Refusal,
+    status, //
 };
 
 /// Largest body that this face takes, in bytes.
 const BODY_BYTES: usize = 4 * 1024 * 1024;
 
-/// What an instance says of itself and of those that it knows.
-#[derive(Debug, Serialize)]
-struct Status {
-    endpoints: usize,
-    instance: wire::Instance,
-    instances: Vec<wire::Instance>,
-    ready: bool,
-    revision: u64,
-    running: u32,
-}
-
 /// Answers operators, endpoints and monitors.
 #[derive(Clone, Debug)]
 pub struct Admin {
@@ -85,8 +74,8 @@
         (&Method::GET, "/readyz") if node.ready() => text(StatusCode::OK, "ready\n"),
         (&Method::GET, "/readyz") => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         (&Method::GET, "/v1/document") => json(&node.configuration.borrow().sections()),
-        (&Method::GET, "/v1/endpoints") => json(&endpoints(&node)),
-        (&Method::GET, "/v1/status") => json(&status(&node)),
+        (&Method::GET, "/v1/endpoints") => json(&endpoints::page(&node)),
+        (&Method::GET, "/v1/status") => json(&status::page(&node)),
         (&Method::POST, "/v1/announcements") => announce(&node, request).await,
         (&Method::POST, "/v1/edits") => edit(&node, request).await,
         _ => text(StatusCode::NOT_FOUND, "no such page\n"),
@@ -99,14 +88,10 @@
         Ok(announcement) => announcement,
         Err(refusal) => return refuse(node, code, refusal),
     };
-    let endpoint = convert::endpoint(announcement.clone());
-    let taken = node.directory.borrow_mut().announce(node.now(), endpoint);
-    match taken {
-        Ok(_) => {
-            datagrams::tell(node, &Datagram::Announcement(announcement)).await;
-            text(StatusCode::NO_CONTENT, "")
-        }
-        Err(code) => refuse(node, code, Refusal::new(code, &*announcement.name)),
+    let name = announcement.name.clone();
+    match datagrams::announce(node, announcement).await {
+        Ok(_) => text(StatusCode::NO_CONTENT, ""),
+        Err(code) => refuse(node, code, Refusal::new(code, &*name)),
     }
 }
 
@@ -124,32 +109,6 @@
     }
 }
 
-fn endpoints(node: &Node) -> Vec<Announcement> {
-    let directory = node.directory.borrow();
-    let mut endpoints: Vec<_> = directory
-        .iter()
-        .map(|(_, endpoint)| convert::announcement(endpoint))
-        .collect();
-    endpoints.sort_by(|one, other| one.name.cmp(&other.name));
-    endpoints
-}
-
-fn status(node: &Node) -> Status {
-    Status {
-        endpoints: node.directory.borrow().iter().count(),
-        instance: node.describe(),
-        instances: node
-            .members
-            .borrow()
-            .iter()
-            .map(convert::heartbeat)
-            .collect(),
-        ready: node.ready(),
-        revision: node.configuration.borrow().revision(),
-        running: node.dispatch.borrow().total(),
-    }
-}
-
 async fn read<T: DeserializeOwned>(request: Request<Incoming>, code: Code) -> Result<T, Refusal> {
     let body = Limited::new(request.into_body(), BODY_BYTES)
         .collect()
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,7 +8,10 @@
 mod configuration;
 mod connections;
 mod convert;
+mod convert_endpoint;
+mod convert_member;
 mod datagrams;
+mod endpoints;
 mod error;
 mod exit;
 mod fabric;
@@ -24,6 +27,7 @@
 mod replica;
 mod requests;
 mod run;
+mod status;
 mod stop;
 mod tracked;
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -14,6 +14,9 @@
     registry::Registry, //
 };
 
+/// Bytes of the IPv4 and UDP headers of a datagram.
+const HEADER_BYTES: u64 = 28;
+
 /// The label of counters by result code.
 #[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
 pub struct CodeLabel {
@@ -31,6 +34,8 @@
 /// All metrics of the process.
 #[derive(Debug)]
 pub struct Metrics {
+    /// Bytes of datagrams sent to other instances.
+    pub control: Counter,
     /// Endpoints under a lease.
     pub endpoints: Gauge,
     /// Other instances that are present.
@@ -50,6 +55,7 @@
     /// Creates the metrics, all at zero.
     pub fn new() -> Self {
         let mut metrics = Self {
+            control: Counter::default(),
             endpoints: Gauge::default(),
             instances: Gauge::default(),
             packets: Counter::default(),
@@ -70,6 +76,12 @@
         self.refusals.get_or_create(&label).inc();
     }
 
+    /// Counts a datagram to another instance.
+    pub fn sent(&self, length: usize) {
+        let length = u64::try_from(length).unwrap_or(u64::MAX);
+        self.control.inc_by(length.saturating_add(HEADER_BYTES));
+    }
+
     /// All metrics as text.
     pub fn text(&self) -> String {
         let mut text = String::new();
@@ -81,6 +93,11 @@
 
     fn register(&mut self) {
         let registry = &mut self.registry;
+        registry.register(
+            "control_bytes",
+            "Bytes of datagrams sent to other instances, with their IP and UDP headers",
+            self.control.clone(),
+        );
         registry.register(
             "endpoints",
             "Endpoints under a lease",
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -16,7 +16,8 @@
 use compio::net::UdpSocket;
 use directory::{
     Directory,
-    EndpointKey, //
+    EndpointKey,
+    Relay, //
 };
 use dispatch::Dispatch;
 use event_listener::Event;
@@ -27,6 +28,7 @@
 use crate::{
     configuration::Configuration,
     connections::Connections,
+    convert_member,
     error::Error,
     metrics::Metrics,
     replica::Replica,
@@ -48,12 +50,12 @@
     pub directory: RefCell<Directory>,
     /// The requests that run.
     pub dispatch: RefCell<Dispatch<EndpointKey>>,
-    /// Grows with each start of the process.
-    pub incarnation: u64,
     /// The other instances.
     pub members: RefCell<Members>,
     /// The metrics.
     pub metrics: Metrics,
+    /// What passes announcements on.
+    pub relay: RefCell<Relay>,
     /// The replica of the configuration; stores only.
     pub replica: Option<RefCell<Replica>>,
     /// The settings.
@@ -76,7 +78,15 @@
             Some(folder) => Some(RefCell::new(Replica::open(folder)?)),
             None => None,
         };
-        let incarnation = epoch_millis();
+        let own = wire::Instance {
+            addresses,
+            centre: settings.instance.centre.clone(),
+            incarnation: epoch_millis(),
+            name: settings.instance.name.clone(),
+            store: replica.is_some(),
+        };
+        let own = convert_member::instance(own);
+        let members = Members::new(own, &settings.seeds, rand::random());
         Ok(Self {
             addresses,
             changed: Event::new(),
@@ -84,9 +94,9 @@
             connections: Connections::new(),
             directory: RefCell::new(Directory::new()),
             dispatch: RefCell::new(Dispatch::new(rand::random())),
-            incarnation,
-            members: RefCell::new(Members::new(&settings.instance.name)),
+            members: RefCell::new(members),
             metrics: Metrics::new(),
+            relay: RefCell::new(Relay::new()),
             replica,
             settings,
             socket: OnceCell::new(),
@@ -100,15 +110,9 @@
         self.start.elapsed()
     }
 
-    /// The instance as its heartbeats describe it.
+    /// The instance as others are told of it.
     pub fn describe(&self) -> wire::Instance {
-        wire::Instance {
-            addresses: self.addresses,
-            centre: self.settings.instance.centre.clone(),
-            incarnation: self.incarnation,
-            name: self.settings.instance.name.clone(),
-            store: self.replica.is_some(),
-        }
+        convert_member::described(self.members.borrow().own())
     }
 
     /// Whether the instance can serve: it has a document in force and is not stopping.
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -138,6 +138,7 @@
     }
     log::info!("stopping");
     node.stop.begin();
+    datagrams::leave(&node).await;
     // Later signals are taken too, so that none of them ends the process early.
     while compio::signal::unix::signal(SIGTERM).await.is_ok() {
         log::info!("already stopping");
--- /dev/null
+++ b/crates/directory/src/report.rs
@@ -0,0 +1,48 @@
+//! An announcement on its way between instances.
+
+use std::time::Duration;
+
+use crate::endpoint::Endpoint;
+
+/// An announcement with what the instances on its way know of its age.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    /// Time since the endpoint sent it; never less than the true one.
+    pub age: Duration,
+    /// Time for which the endpoint has held its address; never more than the true one.
+    pub bound: Duration,
+    /// What the endpoint said.
+    pub endpoint: Endpoint,
+    /// Time for which the endpoint has been ready.
+    pub warm: Duration,
+}
+
+impl Report {
+    /// Creates the report of an announcement that came from the endpoint itself.
+    pub const fn new(endpoint: Endpoint) -> Self {
+        Self {
+            age: Duration::ZERO,
+            bound: Duration::ZERO,
+            endpoint,
+            warm: Duration::ZERO,
+        }
+    }
+
+    /// Sets the age.
+    pub const fn with_age(mut self, age: Duration) -> Self {
+        self.age = age;
+        self
+    }
+
+    /// Sets the time for which the address has been held.
+    pub const fn with_bound(mut self, bound: Duration) -> Self {
+        self.bound = bound;
+        self
+    }
+
+    /// Sets the time for which the endpoint has been ready.
+    pub const fn with_warm(mut self, warm: Duration) -> Self {
+        self.warm = warm;
+        self
+    }
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,9 +1,31 @@
-//! Which instances are present, by heartbeat, incarnation and suspicion.
+//! Which instances are present, by probe, incarnation and suspicion.
 
+mod event;
 mod instance;
+mod member;
 mod members;
+mod message;
+mod rumours;
+mod times;
 
 pub use crate::{
+    event::{
+        Action,
+        Event, //
+    },
     instance::Instance,
-    members::Members, //
+    member::{
+        Member,
+        Standing, //
+    },
+    members::Members,
+    message::{
+        Body,
+        Message,
+        Rumour, //
+    },
+    times::{
+        CONTACTS,
+        TICK, //
+    },
 };
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -28,8 +28,14 @@
     codec::Postcard,
     connection::connect,
     datagram::{
+        Batch,
+        Body,
         Datagram,
-        MAX_DATAGRAM_BYTES, //
+        MAX_DATAGRAM_BYTES,
+        Member,
+        Report,
+        Route,
+        Standing, //
     },
     endpoint::{
         Announcement,
