--- a/examples/standin/src/figure.rs
+++ b/examples/standin/src/figure.rs
@@ -13,6 +13,12 @@
     pub value: f64,
     /// Its unit; empty for a ratio.
     pub unit: &'a str,
+    /// Standard error of a fitted value.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub error: Option<f64>,
+    /// Fitted value at size 0.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub intercept: Option<f64>,
 }
 
 impl<'a> Figure<'a> {
@@ -21,11 +27,25 @@
         Self {
             figure,
             case,
-            value: (value * 1e4).round() / 1e4,
+            value: round(value),
             unit,
+            error: None,
+            intercept: None,
         }
     }
 
+    /// Adds the standard error of a fitted value.
+    pub fn with_error(mut self, error: f64) -> Self {
+        self.error = Some(round(error));
+        self
+    }
+
+    /// Adds the fitted value at size 0.
+    pub fn with_intercept(mut self, intercept: f64) -> Self {
+        self.intercept = Some(round(intercept));
+        self
+    }
+
     /// Prints the figure on standard output.
     ///
     /// # Panics
@@ -38,3 +58,7 @@
         }
     }
 }
+
+fn round(value: f64) -> f64 {
+    (value * 1e4).round() / 1e4
+}
--- a/examples/standin/src/lib.rs
+++ b/examples/standin/src/lib.rs
@@ -9,6 +9,7 @@
 mod endpoint;
 mod fabric;
 mod figure;
+mod fit;
 mod http;
 
 pub use crate::{
@@ -29,6 +30,7 @@
         datagram, //
     },
     figure::Figure,
+    fit::Fit,
     http::{
         Answer,
         call, //
