--- a/crates/store/src/edit.rs
+++ b/crates/store/src/edit.rs
@@ -18,6 +18,8 @@
     pub id: Box<str>,
     /// Name of the section.
     pub section: Box<str>,
+    /// Team that the author's key belongs to; none if the author may edit every section.
+    pub team: Option<Box<str>>,
     /// Text of the section after the edit; empty to remove the section.
     pub text: Box<str>,
     /// When the edit was received, in milliseconds since the Unix epoch.
--- a/crates/store/src/ledger.rs
+++ b/crates/store/src/ledger.rs
@@ -1,8 +1,15 @@
 //! The state that edits are applied to.
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
+};
 
 use codes::Code;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use settings::{
     Document,
     Section,
@@ -19,8 +26,16 @@
     },
 };
 
+/// Edits whose outcome and line of the audit trail are kept.
+///
+/// A resend of an older edit is refused: its base version is no longer in force.
+pub const RETAINED_EDITS: usize = 20_000;
+
+/// Versions of one section whose texts are kept, the one in force included.
+pub const RETAINED_VERSIONS: usize = 32;
+
 /// A section in force, or the version at which it was removed.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Stored {
     /// Its text; empty if it was removed.
     pub text: Box<str>,
@@ -31,10 +46,12 @@
 /// The document as the accepted edits made it, with the answers that were given.
 ///
 /// The same edits applied in the same order give the same ledger on every store.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Ledger {
-    audit: Vec<Audit>,
+    audit: VecDeque<Audit>,
+    #[serde(skip)]
     document: Document,
+    history: BTreeMap<Box<str>, VecDeque<Stored>>,
     outcomes: BTreeMap<Box<str>, Outcome>,
     revision: Revision,
     sections: BTreeMap<Box<str>, Stored>,
@@ -60,20 +77,12 @@
                 version,
             },
         };
-        self.outcomes.insert(edit.id.clone(), outcome.clone());
-        self.audit.push(Audit {
-            author: edit.author.clone(),
-            base: edit.base,
-            id: edit.id.clone(),
-            outcome: outcome.clone(),
-            section: edit.section.clone(),
-            time: edit.time,
-        });
+        self.record(edit, &outcome);
         outcome
     }
 
-    /// The audit trail, oldest first.
-    pub fn audit(&self) -> &[Audit] {
+    /// The audit trail, oldest first: the last [`RETAINED_EDITS`] edits, refused ones too.
+    pub const fn audit(&self) -> &VecDeque<Audit> {
         &self.audit
     }
 
@@ -82,6 +91,12 @@
         &self.document
     }
 
+    /// The last [`RETAINED_VERSIONS`] versions of a section, oldest first; the last one is in
+    /// force. A version with an empty text removed the section.
+    pub fn history(&self, section: &str) -> impl DoubleEndedIterator<Item = &Stored> {
+        self.history.get(section).into_iter().flatten()
+    }
+
     /// The outcome of the edit of that id, if there is one.
     pub fn outcome(&self, id: &str) -> Option<&Outcome> {
         self.outcomes.get(id)
@@ -104,13 +119,16 @@
         let version = self.version(&edit.section).next();
         self.document = document;
         self.revision = self.revision.next();
-        self.sections.insert(
-            edit.section.clone(),
-            Stored {
-                text: edit.text.clone(),
-                version,
-            },
-        );
+        let stored = Stored {
+            text: edit.text.clone(),
+            version,
+        };
+        let history = self.history.entry(edit.section.clone()).or_default();
+        history.push_back(stored.clone());
+        if history.len() > RETAINED_VERSIONS {
+            history.pop_front();
+        }
+        self.sections.insert(edit.section.clone(), stored);
         Outcome::Accepted {
             revision: self.revision,
             version,
@@ -118,6 +136,8 @@
     }
 
     fn check(&self, edit: &Edit) -> Result<Document, (Code, Box<str>)> {
+        let owner = self.document.sections.get(&edit.section);
+        permit(edit, owner)?;
         let version = self.version(&edit.section);
         if edit.base != version {
             let advice = format!(
@@ -133,6 +153,7 @@
             let source = Source::new(&edit.section, &edit.text);
             let section = Section::parse(&source)
                 .map_err(|error| (Code::EditInvalid, error.to_string().into()))?;
+            permit(edit, Some(&section))?;
             document.sections.insert(edit.section.clone(), section);
         }
         document
@@ -141,9 +162,40 @@
         Ok(document)
     }
 
+    fn record(&mut self, edit: &Edit, outcome: &Outcome) {
+        self.outcomes.insert(edit.id.clone(), outcome.clone());
+        self.audit.push_back(Audit {
+            author: edit.author.clone(),
+            base: edit.base,
+            id: edit.id.clone(),
+            outcome: outcome.clone(),
+            section: edit.section.clone(),
+            time: edit.time,
+        });
+        if self.audit.len() > RETAINED_EDITS
+            && let Some(oldest) = self.audit.pop_front()
+        {
+            self.outcomes.remove(&oldest.id);
+        }
+    }
+
     fn version(&self, section: &str) -> Version {
         self.sections
             .get(section)
             .map_or(Version::default(), |stored| stored.version)
     }
 }
+
+/// Refuses the edit of a section that another team owns.
+fn permit(edit: &Edit, section: Option<&Section>) -> Result<(), (Code, Box<str>)> {
+    match (&edit.team, section) {
+        (Some(team), Some(section)) if *team != section.team => {
+            let advice = format!(
+                "section `{}` belongs to team `{}`, the key to team `{team}`",
+                edit.section, section.team
+            );
+            Err((Code::EditForbidden, advice.into()))
+        }
+        _ => Ok(()),
+    }
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -18,6 +18,8 @@
     journal::Journal,
     ledger::{
         Ledger,
+        RETAINED_EDITS,
+        RETAINED_VERSIONS,
         Stored, //
     },
     outcome::Outcome,
