Document: limits, retries, times, planned changes and weights of services; operators' keys and TLS

Cause: requests, flows and planned changes take their limits from the operators' document, which knew only addresses and endpoints; operators' keys and TLS of the admin face come from an instance's settings.

Change: a service has the optional tables `change`, `limits`, `requests` and `retry`, and weights by endpoint pattern. Defaults are named constants. Keys out of range, unknown, or at odds with each other or with the mode are refused at their line; names of sections are TOML's bare keys.

Ruled out: weights in the order of the text, since a TOML table has none; the most exact pattern goes first. A first try ordered patterns by length alone, and a name lost to a beginning of the same length; a test showed it.

Conclusion: the other packages can read these values; nothing acts on them yet.

--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -45,12 +45,19 @@
             .flat_map(|section| section.services.iter())
     }
 
-    /// Checks what only the whole document can show: names, addresses and hosts are unique.
+    /// Checks what only the whole document can show: sections' names, and that services' names,
+    /// addresses and hosts are unique.
     ///
     /// # Errors
     ///
-    /// A sentence that names what is given twice.
+    /// A sentence that names what is wrong or given twice.
     pub fn unique(&self) -> Result<(), Box<str>> {
+        if let Some(name) = self.sections.keys().find(|name| !bare(name)) {
+            return Err(format!(
+                "the section's name `{name}` holds more than letters, digits, `-` and `_`"
+            )
+            .into());
+        }
         let mut addresses = BTreeMap::<Address, &str>::new();
         let mut hosts = BTreeMap::<&str, &str>::new();
         let mut names = BTreeMap::<&str, &str>::new();
@@ -72,3 +79,11 @@
         Ok(())
     }
 }
+
+/// Whether a name can be a key of TOML without quotes.
+fn bare(name: &str) -> bool {
+    !name.is_empty()
+        && name
+            .bytes()
+            .all(|byte| byte.is_ascii_alphanumeric() || b"-_".contains(&byte))
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,28 +4,64 @@
 //! packages use. Every refusal names the file and the place in it.
 
 mod address;
+mod change;
 mod document;
 mod error;
 mod instance;
+mod keys;
+mod limits;
 mod mode;
 mod pattern;
 pub mod raw;
+mod requests;
+mod retry;
 mod role;
 mod section;
 mod service;
 mod settings;
 mod source;
+mod tls;
+mod weight;
 
 pub use crate::{
     address::{
         Address,
         Transport, //
     },
+    change::{
+        Change,
+        DRAIN_MS,
+        SLOW_START_MS, //
+    },
     document::Document,
     error::Error,
     instance::Instance,
+    keys::{
+        DIGEST_BYTES,
+        Holder,
+        Key,
+        Keys, //
+    },
+    limits::{
+        BODY_BYTES,
+        CONNECTIONS,
+        Limits,
+        QUEUE,
+        QUEUE_MS,
+        REQUESTS, //
+    },
     mode::Mode,
     pattern::Pattern,
+    requests::{
+        DEADLINE_MS,
+        KEEP_MS,
+        Requests, //
+    },
+    retry::{
+        ATTEMPTS,
+        PERCENT,
+        Retry, //
+    },
     role::Role,
     section::Section,
     service::Service,
@@ -35,5 +71,10 @@
         Log,
         Settings, //
     },
-    source::Source, //
+    source::Source,
+    tls::Tls,
+    weight::{
+        WEIGHT,
+        Weight, //
+    },
 };
--- a/crates/settings/src/raw.rs
+++ b/crates/settings/src/raw.rs
@@ -29,11 +29,15 @@
     /// What it logs.
     #[serde(default)]
     pub log: Log,
+    /// Who may edit the document.
+    pub operators: Option<Operators>,
     /// Whom it asks first.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
     /// Where a store keeps its files.
     pub store: Option<Spanned<Store>>,
+    /// TLS of the admin face.
+    pub tls: Option<Tls>,
 }
 
 /// Who the instance is.
@@ -81,6 +85,45 @@
     pub data: PathBuf,
 }
 
+/// Who may edit the document.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Operators {
+    /// The file of keys.
+    pub keys: PathBuf,
+}
+
+/// TLS of the admin face.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tls {
+    /// The file of the certificate chain.
+    pub certificate: PathBuf,
+    /// The file of the private key.
+    pub key: PathBuf,
+}
+
+/// The file of operators' keys.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Keys {
+    /// The keys.
+    #[serde(default)]
+    pub key: Vec<Spanned<Key>>,
+}
+
+/// An operator's key.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Key {
+    /// Name of an operator who may edit every section.
+    pub admin: Option<Box<str>>,
+    /// SHA-256 of the key's text, as hexadecimal digits.
+    pub sha256: Spanned<Box<str>>,
+    /// The team that may edit its own sections.
+    pub team: Option<Box<str>>,
+}
+
 /// The operators' document.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -107,17 +150,74 @@
 pub struct Service {
     /// Destination address of its flows.
     pub address: Option<IpAddr>,
+    /// How a planned change unfolds.
+    pub change: Option<Change>,
     /// Endpoints' names or patterns that may serve it.
     pub endpoints: Spanned<Vec<Box<str>>>,
     /// Host names of its requests.
     #[serde(default)]
     pub hosts: Vec<Box<str>>,
+    /// How much of it is taken at once.
+    pub limits: Option<Spanned<Limits>>,
     /// By flow or by request.
     pub mode: Spanned<Mode>,
     /// Its name, unique in the document.
     pub name: Spanned<Box<str>>,
     /// Destination port of its flows.
     pub port: Option<u16>,
+    /// Times of its requests.
+    pub requests: Option<Spanned<Requests>>,
+    /// Retries of its requests.
+    pub retry: Option<Spanned<Retry>>,
     /// Transport protocol of its flows.
     pub transport: Option<Transport>,
+    /// Weights by endpoints' names or patterns.
+    #[serde(default)]
+    pub weights: BTreeMap<Box<str>, Spanned<u64>>,
+}
+
+/// How a planned change unfolds.
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Change {
+    /// Time that a draining endpoint has, in milliseconds.
+    pub drain_ms: Option<Spanned<u64>>,
+    /// Time over which a new endpoint's share grows, in milliseconds.
+    pub slow_start_ms: Option<Spanned<u64>>,
+}
+
+/// How much of a service is taken at once.
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Limits {
+    /// Largest body of a request, in bytes.
+    pub body_bytes: Option<Spanned<u64>>,
+    /// Connections or flows at one endpoint.
+    pub connections: Option<Spanned<u64>>,
+    /// Requests that wait.
+    pub queue: Option<Spanned<u64>>,
+    /// Longest wait of a request, in milliseconds.
+    pub queue_ms: Option<Spanned<u64>>,
+    /// Requests of the service that run at once.
+    pub requests: Option<Spanned<u64>>,
+}
+
+/// Times of a service's requests.
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Requests {
+    /// Deadline of a request that brings none, in milliseconds.
+    pub deadline_ms: Option<Spanned<u64>>,
+    /// Time for which an idempotency key's answer is kept, in milliseconds.
+    pub keep_ms: Option<Spanned<u64>>,
+}
+
+/// Retries of a service's requests.
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Retry {
+    /// Attempts of one request at most.
+    pub attempts: Option<Spanned<u64>>,
+    /// Retries in a hundred requests.
+    pub percent: Option<Spanned<u64>>,
 }
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -15,7 +15,8 @@
     instance::Instance,
     raw,
     role::Role,
-    source::Source, //
+    source::Source,
+    tls::Tls, //
 };
 
 /// Where the instance listens; port 0 takes a free port.
@@ -97,12 +98,16 @@
     pub data: Option<PathBuf>,
     /// Who the instance is.
     pub instance: Instance,
+    /// The file of operators' keys; without one, edits are taken from loopback addresses only.
+    pub keys: Option<PathBuf>,
     /// Where it listens.
     pub listen: Listen,
     /// What it logs.
     pub log: Log,
     /// Inner addresses of instances that it asks first.
     pub seeds: Box<[SocketAddr]>,
+    /// TLS of the admin face; without it the face is plain HTTP.
+    pub tls: Option<Tls>,
 }
 
 impl Settings {
@@ -129,6 +134,7 @@
         Ok(Self {
             data,
             instance,
+            keys: raw.operators.map(|operators| operators.keys),
             listen: Listen {
                 admin: listen.admin,
                 fabric: listen.fabric,
@@ -137,6 +143,10 @@
             },
             log: log(source, &raw.log)?,
             seeds: raw.seeds.into(),
+            tls: raw.tls.map(|tls| Tls {
+                certificate: tls.certificate,
+                key: tls.key,
+            }),
         })
     }
 }
--- a/crates/settings/src/source.rs
+++ b/crates/settings/src/source.rs
@@ -2,12 +2,16 @@
 
 use std::{
     fs,
-    ops::Range,
+    ops::{
+        Range,
+        RangeInclusive, //
+    },
     path::Path, //
 };
 
 use miette::NamedSource;
 use serde::de::DeserializeOwned;
+use toml::Spanned;
 
 use crate::error::Error;
 
@@ -88,6 +92,32 @@
         }
     }
 
+    /// The number of an optional key, or `default` if it is not given.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Value`] for a number out of `range`.
+    pub(crate) fn within<T: TryFrom<u64>>(
+        &self,
+        value: &Option<Spanned<u64>>,
+        key: &str,
+        range: RangeInclusive<u64>,
+        default: T,
+    ) -> Result<T, Error> {
+        let Some(value) = value else {
+            return Ok(default);
+        };
+        let number = *value.get_ref();
+        match T::try_from(number) {
+            Ok(found) if range.contains(&number) => Ok(found),
+            Ok(_) | Err(_) => {
+                let (least, most) = (range.start(), range.end());
+                let advice = format!("`{key}` is {number}; it may be {least} to {most}");
+                Err(self.invalid(value.span(), advice))
+            }
+        }
+    }
+
     fn named(&self) -> NamedSource<String> {
         NamedSource::new(&self.name, self.text.to_string()).with_language("TOML")
     }
