--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -7,6 +7,7 @@
 mod message;
 mod rumours;
 mod times;
+mod view;
 
 pub use crate::{
     event::{
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -5,10 +5,6 @@
         BTreeMap,
         VecDeque, //
     },
-    hash::{
-        Hash,
-        Hasher, //
-    },
     net::SocketAddr,
     time::Duration, //
 };
@@ -17,12 +13,10 @@
     SeedableRng,
     seq::{
         IndexedRandom,
-        IteratorRandom,
         SliceRandom, //
     },
 };
 use rand_chacha::ChaCha8Rng;
-use siphasher::sip::SipHasher13;
 
 use crate::{
     event::{
@@ -39,24 +33,22 @@
         Message,
         Rumour, //
     },
-    rumours::Rumours,
     times::{
-        CONTACTS,
-        DEAD_KEPT,
         FAREWELLS,
         INDIRECT,
         JOIN,
-        LEFT_KEPT,
         PERIOD,
         PROBE_TIMEOUT,
         REJOIN,
-        RUMOURS,
         STALL,
-        SUSPICION,
         SYNC,
         SYNC_MEMBER,
         VIEW, //
     },
+    view::{
+        View,
+        rumour, //
+    },
 };
 
 /// A probe whose answer is awaited.
@@ -96,16 +88,12 @@
 pub struct Members {
     due: Due,
     favours: BTreeMap<u64, Favour>,
-    generation: u64,
-    leaving: bool,
-    members: BTreeMap<Box<str>, Member>,
     number: u64,
-    own: Instance,
     probe: Option<Probe>,
     queue: VecDeque<Box<str>>,
     random: ChaCha8Rng,
-    rumours: Rumours,
     seeds: Box<[SocketAddr]>,
+    view: View,
 }
 
 impl Members {
@@ -114,16 +102,12 @@
         Self {
             due: Due::default(),
             favours: BTreeMap::new(),
-            generation: 0,
-            leaving: false,
-            members: BTreeMap::new(),
             number: 0,
-            own,
             probe: None,
             queue: VecDeque::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
-            rumours: Rumours::default(),
             seeds: seeds.into(),
+            view: View::new(own),
         }
     }
 
@@ -138,53 +122,44 @@
 
     /// Grows with each change of the members or of their standing.
     pub const fn generation(&self) -> u64 {
-        self.generation
+        self.view.generation()
     }
 
     /// The instance itself, with the incarnation that it has now.
     pub const fn own(&self) -> &Instance {
-        &self.own
+        self.view.own()
     }
 
     /// The present members, alive or suspected, in the order of their names.
     pub fn iter(&self) -> impl Iterator<Item = &Instance> {
-        self.all()
-            .filter(|member| member.standing.present())
-            .map(|member| &member.instance)
+        self.view.iter()
     }
 
     /// All members that are remembered, in the order of their names.
     pub fn all(&self) -> impl Iterator<Item = &Member> {
-        self.members.values()
+        self.view.all()
     }
 
     /// The present entries of the own data centre, the instance itself left out.
     pub fn entries(&self) -> impl Iterator<Item = &Instance> {
-        self.iter()
-            .filter(|instance| instance.centre == self.own.centre && instance.fabric.is_some())
+        self.view.entries()
     }
 
     /// The known entries of the other data centres that are present, by data centre.
     pub fn contacts(&self) -> BTreeMap<&str, Vec<&Instance>> {
-        let mut contacts: BTreeMap<&str, Vec<&Instance>> = BTreeMap::new();
-        for instance in self.iter().filter(|instance| instance.fabric.is_some()) {
-            if instance.centre != self.own.centre {
-                contacts.entry(&instance.centre).or_default().push(instance);
-            }
-        }
-        contacts
+        self.view.contacts()
     }
 
     /// The standing of a member; none if it is not known.
     pub fn standing(&self, name: &str) -> Option<Standing> {
-        self.members.get(name).map(|member| member.standing)
+        self.view.get(name).map(|member| member.standing)
     }
 
     fn leave(&mut self) -> Vec<Action> {
-        self.leaving = true;
+        self.view.leaving = true;
         let targets: Vec<_> = self.iter().map(|instance| instance.inner).collect();
         let rumour = Rumour {
-            instance: self.own.clone(),
+            instance: self.view.own().clone(),
             standing: Standing::Left,
         };
         targets
@@ -192,7 +167,7 @@
             .map(|to| Action {
                 message: Message {
                     body: Body::Tell,
-                    from: self.own.clone(),
+                    from: self.view.own().clone(),
                     rumours: vec![rumour.clone()],
                 },
                 to: *to,
@@ -202,19 +177,19 @@
 
     fn received(&mut self, now: Duration, from: SocketAddr, message: Message) -> Vec<Action> {
         let sender = message.from.name.clone();
-        if sender == self.own.name && message.from.inner == self.own.inner {
+        if sender == self.view.own().name && message.from.inner == self.view.own().inner {
             return Vec::new();
         }
-        self.learn(now, message.from, Standing::Alive);
+        self.view.learn(now, message.from, Standing::Alive);
         for rumour in message.rumours {
-            self.learn(now, rumour.instance, rumour.standing);
+            self.view.learn(now, rumour.instance, rumour.standing);
         }
-        if self.leaving {
+        if self.view.leaving {
             return Vec::new();
         }
         match message.body {
             Body::Ack { probe } => self.acknowledged(probe),
-            Body::Join => self.view(from),
+            Body::Join => self.whole_view(from),
             Body::Ping { probe } => vec![self.answer(from, &sender, probe)],
             Body::Request { probe, target } => self.favour(now, from, probe, target),
             Body::Tell => Vec::new(),
@@ -223,8 +198,8 @@
 
     /// Answers a probe; a sender that others do not take for alive learns of it.
     fn answer(&mut self, to: SocketAddr, sender: &str, probe: u64) -> Action {
-        let mut action = self.message(to, Body::Ack { probe });
-        let known = self.members.get(sender);
+        let mut action = self.view.message(to, Body::Ack { probe });
+        let known = self.view.get(sender);
         if let Some(member) = known.filter(|member| member.standing != Standing::Alive) {
             action.message.rumours.push(rumour(member));
         }
@@ -243,7 +218,7 @@
         let Some(favour) = self.favours.remove(&number) else {
             return Vec::new();
         };
-        vec![self.message(
+        vec![self.view.message(
             favour.asker,
             Body::Ack {
                 probe: favour.number,
@@ -265,22 +240,22 @@
             sent: now,
         };
         self.favours.insert(probe, favour);
-        vec![self.message(target, Body::Ping { probe })]
+        vec![self.view.message(target, Body::Ping { probe })]
     }
 
     /// The whole view in messages that each fit a packet.
-    fn view(&mut self, to: SocketAddr) -> Vec<Action> {
-        let rumours: Vec<_> = self.members.values().map(rumour).collect();
+    fn whole_view(&mut self, to: SocketAddr) -> Vec<Action> {
+        let rumours: Vec<_> = self.view.all().map(rumour).collect();
         let mut messages: Vec<_> = rumours
             .chunks(VIEW)
             .map(|chunk| Message {
                 body: Body::Tell,
-                from: self.own.clone(),
+                from: self.view.own().clone(),
                 rumours: chunk.to_vec(),
             })
             .collect();
         if messages.is_empty() {
-            messages.push(self.message(to, Body::Tell).message);
+            messages.push(self.view.message(to, Body::Tell).message);
         }
         messages
             .into_iter()
@@ -289,7 +264,7 @@
     }
 
     fn tick(&mut self, now: Duration) -> Vec<Action> {
-        if self.leaving {
+        if self.view.leaving {
             return Vec::new();
         }
         let gap = self
@@ -298,9 +273,13 @@
             .map_or(Duration::ZERO, |tick| now.saturating_sub(tick));
         self.due.tick = Some(now);
         if gap > STALL {
-            self.resume(now);
+            // After a pause of its own an instance has no ground to suspect anyone.
+            self.probe = None;
+            self.view.resume(now);
         }
-        self.expire(now);
+        self.favours
+            .retain(|_, favour| now.saturating_sub(favour.sent) < PERIOD);
+        self.view.expire(now);
         let mut actions = self.late_probe(now);
         actions.extend(self.next_probe(now));
         actions.extend(self.join(now));
@@ -308,48 +287,6 @@
         actions
     }
 
-    /// After a pause of its own an instance has no ground to suspect anyone.
-    fn resume(&mut self, now: Duration) {
-        self.probe = None;
-        for member in self.members.values_mut() {
-            if member.standing == Standing::Suspected {
-                member.since = now;
-            }
-        }
-    }
-
-    fn expire(&mut self, now: Duration) {
-        self.favours
-            .retain(|_, favour| now.saturating_sub(favour.sent) < PERIOD);
-        let mut dead = Vec::new();
-        self.members.retain(|name, member| {
-            let age = now.saturating_sub(member.since);
-            match member.standing {
-                Standing::Alive => true,
-                Standing::Suspected => {
-                    if age >= SUSPICION {
-                        dead.push(name.clone());
-                    }
-                    true
-                }
-                Standing::Dead => age < DEAD_KEPT,
-                Standing::Left => age < LEFT_KEPT,
-            }
-        });
-        for name in dead {
-            self.judge(now, &name, Standing::Dead);
-        }
-    }
-
-    fn judge(&mut self, now: Duration, name: &str, standing: Standing) {
-        if let Some(member) = self.members.get_mut(name) {
-            member.standing = standing;
-            member.since = now;
-            self.generation += 1;
-            self.rumours.add(name);
-        }
-    }
-
     /// Passes a late probe on to others, and suspects the member at the end of the period.
     fn late_probe(&mut self, now: Duration) -> Vec<Action> {
         let Some(probe) = self.probe.clone() else {
@@ -357,7 +294,7 @@
         };
         let age = now.saturating_sub(probe.sent);
         let target = self
-            .members
+            .view
             .get(&probe.name)
             .filter(|member| member.instance.incarnation == probe.incarnation)
             .map(|member| (member.instance.inner, member.standing));
@@ -366,7 +303,7 @@
             Some((_, standing)) if age >= PERIOD => {
                 self.probe = None;
                 if standing == Standing::Alive {
-                    self.judge(now, &probe.name, Standing::Suspected);
+                    self.view.judge(now, &probe.name, Standing::Suspected);
                 }
             }
             Some((target, _)) if age >= PROBE_TIMEOUT && !probe.indirect => {
@@ -381,12 +318,8 @@
         if let Some(probe) = &mut self.probe {
             probe.indirect = true;
         }
-        let mut others: Vec<_> = self
-            .all()
-            .filter(|member| member.standing == Standing::Alive)
-            .map(|member| member.instance.inner)
-            .filter(|address| *address != target)
-            .collect();
+        let mut others = self.view.addresses(Standing::Alive);
+        others.retain(|address| *address != target);
         others.shuffle(&mut self.random);
         let body = Body::Request {
             probe: probe.number,
@@ -395,7 +328,7 @@
         others
             .into_iter()
             .take(INDIRECT)
-            .map(|to| self.message(to, body))
+            .map(|to| self.view.message(to, body))
             .collect()
     }
 
@@ -413,8 +346,8 @@
             number,
             sent: now,
         });
-        let mut action = self.message(to, Body::Ping { probe: number });
-        let known = self.members.get(&name);
+        let mut action = self.view.message(to, Body::Ping { probe: number });
+        let known = self.view.get(&name);
         if let Some(member) = known.filter(|member| member.standing != Standing::Alive) {
             // So that it can refute the suspicion.
             action.message.rumours.push(rumour(member));
@@ -430,7 +363,7 @@
             self.queue = names.into();
         }
         while let Some(name) = self.queue.pop_front() {
-            let member = self.members.get(&name);
+            let member = self.view.get(&name);
             if let Some(member) = member.filter(|member| member.standing.present()) {
                 let instance = &member.instance;
                 return Some((name, instance.inner, instance.incarnation));
@@ -447,19 +380,16 @@
         let alone = self.iter().next().is_none();
         self.due.join = now + if alone { JOIN } else { REJOIN };
         let present: Vec<_> = self.iter().map(|instance| instance.inner).collect();
-        let dead = self
-            .all()
-            .filter(|member| member.standing == Standing::Dead)
-            .map(|member| member.instance.inner);
+        let dead = self.view.addresses(Standing::Dead);
         let absent: Vec<_> = self
             .seeds
             .iter()
             .copied()
             .chain(dead)
-            .filter(|address| *address != self.own.inner && !present.contains(address))
+            .filter(|address| *address != self.view.own().inner && !present.contains(address))
             .collect();
         let to = *absent.choose(&mut self.random)?;
-        Some(self.message(to, Body::Join))
+        Some(self.view.message(to, Body::Join))
     }
 
     /// Asks a present member for its whole view, less often the larger the own view is.
@@ -467,90 +397,11 @@
         if now < self.due.sync {
             return None;
         }
-        let count = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
-        let to = self
-            .members
-            .values()
-            .filter(|member| member.standing == Standing::Alive)
-            .map(|member| member.instance.inner)
-            .choose(&mut self.random)?;
+        let count = u32::try_from(self.view.len()).unwrap_or(u32::MAX);
+        let alive = self.view.addresses(Standing::Alive);
+        let to = *alive.choose(&mut self.random)?;
         self.due.sync = now + SYNC.max(SYNC_MEMBER.saturating_mul(count));
-        Some(self.message(to, Body::Join))
-    }
-
-    /// Takes in what is said of an instance, unless later news of it are known.
-    fn learn(&mut self, now: Duration, instance: Instance, standing: Standing) {
-        if instance.name == self.own.name {
-            return self.refute(&instance, standing);
-        }
-        let known = self.members.get(&instance.name);
-        let order = (instance.incarnation, standing);
-        let later = known.is_none_or(|known| order > (known.instance.incarnation, known.standing));
-        if !later || known.is_none() && !self.wanted(&instance) {
-            return;
-        }
-        let name = instance.name.clone();
-        let member = Member {
-            instance,
-            since: now,
-            standing,
-        };
-        self.members.insert(name.clone(), member);
-        self.generation += 1;
-        self.rumours.add(&name);
-    }
-
-    /// Answers a false rumour of the instance itself with a higher incarnation.
-    fn refute(&mut self, instance: &Instance, standing: Standing) {
-        let order = (instance.incarnation, standing);
-        if !self.leaving && order > (self.own.incarnation, Standing::Alive) {
-            self.own.incarnation = instance.incarnation + 1;
-        }
-    }
-
-    /// Whether an unknown instance belongs into the view.
-    fn wanted(&mut self, instance: &Instance) -> bool {
-        if instance.store || instance.centre == self.own.centre {
-            return true;
-        }
-        let rank = |name: &str| {
-            let mut hasher = SipHasher13::new();
-            (&self.own.name, name).hash(&mut hasher);
-            hasher.finish()
-        };
-        let own = rank(&instance.name);
-        let contacts: Vec<_> = self
-            .iter()
-            .filter(|known| !known.store && known.centre == instance.centre)
-            .map(|known| (rank(&known.name), known.name.clone()))
-            .collect();
-        match contacts.iter().max() {
-            Some(_) if contacts.len() < CONTACTS => true,
-            Some((worst, _)) if own > *worst => false,
-            Some((_, name)) => {
-                let name = name.clone();
-                self.members.remove(&name);
-                true
-            }
-            None => true,
-        }
-    }
-
-    fn message(&mut self, to: SocketAddr, body: Body) -> Action {
-        let names = self.rumours.take(RUMOURS, self.members.len());
-        let rumours = names
-            .iter()
-            .filter_map(|name| self.members.get(name))
-            .map(rumour)
-            .collect();
-        Action {
-            message: Message {
-                body,
-                from: self.own.clone(),
-                rumours,
-            },
-            to,
-        }
+        Some(self.view.message(to, Body::Join))
     }
 
     fn next_number(&mut self) -> u64 {
@@ -558,10 +409,3 @@
         self.number
     }
 }
-
-fn rumour(member: &Member) -> Rumour {
-    Rumour {
-        instance: member.instance.clone(),
-        standing: member.standing,
-    }
-}
--- a/crates/wire/tests/datagram.rs
+++ b/crates/wire/tests/datagram.rs
@@ -4,8 +4,14 @@
 use mimosausher_wire::{
     Addresses,
     Announcement,
+    Batch,
+    Body,
     Datagram,
     Instance,
+    Member,
+    Report,
+    Route,
+    Standing,
     State, //
 };
 
@@ -26,18 +32,33 @@
 }
 
 #[test]
-fn encode_heartbeat_same() {
-    let datagram = Datagram::Heartbeat {
-        from: instance(),
-        known: vec![instance(), instance()],
-    };
-    let bytes = datagram.encode().unwrap();
-    assert_eq!(Datagram::decode(&bytes).unwrap(), datagram);
+fn encode_member_same() {
+    let address = "127.0.0.1:7203".parse().unwrap();
+    for body in [
+        Body::Ack(1),
+        Body::Join,
+        Body::Ping(u64::MAX),
+        Body::Request(2, address),
+        Body::Tell,
+    ] {
+        let datagram = Datagram::Member(Member {
+            body,
+            from: instance(),
+            rumours: vec![
+                (instance(), Standing::Alive),
+                (instance(), Standing::Suspected),
+                (instance(), Standing::Dead),
+                (instance(), Standing::Left),
+            ],
+        });
+        let bytes = datagram.encode().unwrap();
+        assert_eq!(Datagram::decode(&bytes).unwrap(), datagram);
+    }
 }
 
 #[test]
-fn encode_announcement_same() {
-    let datagram = Datagram::Announcement(Announcement {
+fn encode_batch_same() {
+    let announcement = Announcement {
         address: "127.0.0.1:9000".parse().unwrap(),
         centre: "porto-a".into(),
         connections: 3,
@@ -48,9 +69,23 @@
         service: "booking-desk".into(),
         slots: 3,
         state: State::Draining,
-    });
-    let bytes = datagram.encode().unwrap();
-    assert_eq!(Datagram::decode(&bytes).unwrap(), datagram);
+    };
+    let address = "127.0.0.1:7203".parse().unwrap();
+    for route in [Route::Direct, Route::Forward(address), Route::Spread] {
+        let datagram = Datagram::Batch(Batch {
+            echo: Some((5, u64::MAX)),
+            reports: vec![Report {
+                age: 1,
+                announcement: announcement.clone(),
+                bound: 2,
+                warm: 3,
+            }],
+            route,
+            stamp: 4,
+        });
+        let bytes = datagram.encode().unwrap();
+        assert_eq!(Datagram::decode(&bytes).unwrap(), datagram);
+    }
 }
 
 #[test]
