--- a/crates/directory/src/binding.rs
+++ b/crates/directory/src/binding.rs
@@ -12,6 +12,7 @@
         FRESH,
         LEASE,
         TOMBSTONE,
+        WAIT,
         WARMUP, //
     },
 };
@@ -68,6 +69,7 @@
             // Another endpoint may have held the address since.
             self.bound = now;
         }
+        self.confirmed = self.confirmed.max(now.saturating_sub(report.age));
         self.merge(now, &report);
         let warm = now.saturating_sub(report.warm);
         self.warm = match (report.endpoint.state, self.warm) {
@@ -78,9 +80,8 @@
         self.endpoint = report.endpoint;
     }
 
-    /// Takes over what another instance knows of the times of an announcement.
+    /// Takes over for how long another instance knows the endpoint to have held its address.
     pub fn merge(&mut self, now: Duration, report: &Report) {
-        self.confirmed = self.confirmed.max(now.saturating_sub(report.age));
         self.bound = self.bound.min(now.saturating_sub(report.bound));
     }
 
@@ -111,7 +112,7 @@
 
     /// Whether every instance has let go of the address's binding before this one.
     pub fn settled(&self, now: Duration) -> bool {
-        now.saturating_sub(self.bound) >= LEASE
+        now.saturating_sub(self.bound) >= WAIT
     }
 
     /// Whether the endpoint may take new work.
--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -54,7 +54,7 @@
 
     /// Takes in an announcement and renews the endpoint's lease.
     ///
-    /// A new binding of an address waits for one [`LEASE`] before it is used, unless the address
+    /// A new binding of an address waits for [`WAIT`](crate::WAIT) before it is used, unless the address
     /// belonged to the same endpoint and service, or this instance itself has run for less.
     ///
     /// # Errors
@@ -100,6 +100,19 @@
         }
     }
 
+    /// Ticks if the last tick is overdue.
+    ///
+    /// A face that may run first after a pause of the process calls it before it decides, so that
+    /// no lease that ran out in the pause is used.
+    pub fn catch_up(&mut self, now: Duration) {
+        let overdue = self
+            .ticked
+            .is_some_and(|ticked| (now + ORIGIN).saturating_sub(ticked) > STALL);
+        if overdue {
+            self.tick(now);
+        }
+    }
+
     /// Grows with each change of who may take work, and with which weight.
     pub const fn generation(&self) -> u64 {
         self.generation
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -33,6 +33,7 @@
         LEASE,
         TICK,
         TOMBSTONE,
+        WAIT,
         WARMUP, //
     },
 };
--- a/crates/directory/src/times.rs
+++ b/crates/directory/src/times.rs
@@ -12,9 +12,6 @@
 pub const FRESH: Duration = Duration::from_millis(2800);
 
 /// Age of the last confirmation from which an endpoint's address is not used at all.
-///
-/// It is also the time for which a new binding of an address waits, so that every instance has
-/// let go of the one before it.
 pub const LEASE: Duration = Duration::from_secs(10);
 
 /// Longest time between two ticks of an instance that runs freely.
@@ -23,6 +20,13 @@
 /// Time after the lease for which an endpoint is remembered, so that nothing late revives it.
 pub const TOMBSTONE: Duration = Duration::from_secs(20);
 
+/// Time for which a new binding of an address waits before it is used.
+///
+/// The address's endpoint before it was last confirmed by an announcement that it sent before the
+/// new one sent its first. Every instance has let go of it one [`LEASE`] and one [`TICK`] later;
+/// the rest covers the time that an endpoint's own announcement is under way.
+pub const WAIT: Duration = LEASE.saturating_add(Duration::from_secs(1));
+
 /// Time over which a newly ready endpoint's weight grows to its full value.
 pub const WARMUP: Duration = Duration::from_secs(10);
 
