--- a/crates/codes/src/lib.rs
+++ b/crates/codes/src/lib.rs
@@ -112,6 +112,7 @@
     NotInitialised = 5009, Not, "The stores have not been initialised.";
     Unauthenticated = 5010, Not, "The key is missing or not known.";
     SectionUnknown = 5011, Not, "There is no such section or version.";
+    MembersRefused = 5012, Not, "The members cannot be changed in this way now.";
     MessageMalformed = 6001, Not, "A message between instances could not be decoded.";
     InstanceUnreachable = 6002, Not, "An instance could not be reached.";
 }
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -27,6 +27,7 @@
     Announcement,
     Datagram,
     Edit,
+    LogMembers,
     Outcome, //
 };
 
@@ -35,6 +36,10 @@
     datagrams,
     follower,
     http::Handler,
+    members::{
+        self,
+        Refused, //
+    },
     node::Node,
     refusal::Refusal, //
 };
@@ -86,13 +91,37 @@
         (&Method::GET, "/readyz") => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         (&Method::GET, "/v1/document") => json(&node.configuration.borrow().sections()),
         (&Method::GET, "/v1/endpoints") => json(&endpoints(&node)),
+        (&Method::GET, "/v1/members") => answer(&node, members::show(&node)),
         (&Method::GET, "/v1/status") => json(&status(&node)),
         (&Method::POST, "/v1/announcements") => announce(&node, request).await,
         (&Method::POST, "/v1/edits") => edit(&node, request).await,
+        (&Method::POST, "/v1/init") => match read(request, Code::SyntaxInvalid).await {
+            Ok(init) => answer(&node, members::init(&node, init).await),
+            Err(refusal) => refuse(&node, Code::SyntaxInvalid, refusal),
+        },
+        (&Method::POST, "/v1/members") => match read(request, Code::SyntaxInvalid).await {
+            Ok(change) => answer(&node, members::change(&node, change).await),
+            Err(refusal) => refuse(&node, Code::SyntaxInvalid, refusal),
+        },
         _ => text(StatusCode::NOT_FOUND, "no such page\n"),
     }
 }
 
+/// Answers a call on the stores of the log.
+fn answer(node: &Node, result: Result<LogMembers, Refused>) -> Response<Full<Bytes>> {
+    let (code, advice) = match result {
+        Ok(members) => return json(&members),
+        Err(refused) => refused,
+    };
+    node.metrics.refuse(code);
+    let status = match code {
+        Code::MembersRefused => StatusCode::CONFLICT,
+        Code::ValueInvalid => StatusCode::BAD_REQUEST,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    Refusal::new(code, advice).response(status)
+}
+
 async fn announce(node: &Node, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let code = Code::AnnouncementMalformed;
     let announcement: Announcement = match read(request, code).await {
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -17,8 +17,8 @@
 };
 
 use crate::{
-    inner,
-    node::Node, //
+    node::Node,
+    proposals, //
 };
 
 /// Time after which a store that does not answer is given up.
@@ -47,8 +47,8 @@
 
 /// Hands an edit to a store, which may be this instance.
 pub async fn edit(node: &Rc<Node>, edit: Edit) -> Outcome {
-    if let Some(replica) = &node.replica {
-        return inner::edit(node, replica, edit);
+    if node.replica.is_some() {
+        return proposals::edit(node, edit).await;
     }
     for address in stores(node) {
         let Some(client) = connect(address).await else {
--- a/crates/daemon/src/inner.rs
+++ b/crates/daemon/src/inner.rs
@@ -1,29 +1,29 @@
 //! The calls that this instance answers to others.
 
 use std::{
-    cell::RefCell,
     rc::Rc,
     time::Duration, //
 };
 
 use codes::Code;
 use compio::net::TcpListener;
+use store::Message;
 use tarpc::context::Context;
 use wire::{
+    Decision,
     Edit,
     Follow,
+    Identity,
     Inner,
+    LogMessage,
     Outcome,
+    Proposal,
     Update, //
 };
 
 use crate::{
-    convert,
-    node::{
-        Node,
-        epoch_millis, //
-    },
-    replica::Replica, //
+    node::Node,
+    proposals, //
 };
 
 /// Time for which a follower waits before it is told that nothing is new.
@@ -48,33 +48,9 @@
     }
 }
 
-/// Gives an edit to this instance's own replica.
-pub fn edit(node: &Node, replica: &RefCell<Replica>, edit: Edit) -> Outcome {
-    let edit = convert::edit(edit, epoch_millis());
-    let outcome = replica.borrow_mut().edit(&edit, &node.changed);
-    match outcome {
-        Ok(outcome) => convert::outcome(outcome),
-        Err(error) => {
-            log::error!(code = error.code().number(); "{error}");
-            Outcome::Refused {
-                advice: error.to_string().into(),
-                code: Code::EditUnknown,
-                version: 0,
-            }
-        }
-    }
-}
-
 impl Inner for Service {
-    async fn edit(self, _: Context, request: Edit) -> Outcome {
-        match &self.node.replica {
-            Some(replica) => edit(&self.node, replica, request),
-            None => Outcome::Refused {
-                advice: "this instance is not a store".into(),
-                code: Code::NoLeader,
-                version: 0,
-            },
-        }
+    async fn edit(self, _: Context, edit: Edit) -> Outcome {
+        proposals::edit(&self.node, edit).await
     }
 
     async fn follow(self, _: Context, follow: Follow) -> Option<Update> {
@@ -87,4 +63,20 @@
         let _notified = compio::time::timeout(FOLLOW_WAIT, listener).await;
         replica.borrow().update(follow.revision)
     }
+
+    async fn identify(self, _: Context) -> Option<Identity> {
+        proposals::identity(&self.node)
+    }
+
+    async fn log(self, _: Context, log: LogMessage) {
+        match (&self.node.replica, Message::decode(&log.bytes)) {
+            (Some(replica), Some(message)) => replica.borrow_mut().receive(log.address, message),
+            (Some(_), None) => self.node.metrics.refuse(Code::MessageMalformed),
+            (None, _) => {}
+        }
+    }
+
+    async fn propose(self, _: Context, proposal: Proposal) -> Decision {
+        proposals::decide(&self.node, proposal).await
+    }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -22,6 +22,7 @@
 use event_listener::Event;
 use membership::Members;
 use settings::Settings;
+use store::Folder;
 use wire::Addresses;
 
 use crate::{
@@ -66,18 +67,21 @@
 }
 
 impl Node {
-    /// Creates what the tasks of a new process share.
+    /// Creates what the tasks of a new process share, and the data folder of a store.
     ///
     /// # Errors
     ///
     /// Any failure of the data folder.
-    pub fn new(settings: Settings, addresses: Addresses) -> Result<Self, Error> {
-        let replica = match &settings.data {
-            Some(folder) => Some(RefCell::new(Replica::open(folder)?)),
-            None => None,
+    pub fn new(settings: Settings, addresses: Addresses) -> Result<(Self, Option<Folder>), Error> {
+        let (replica, folder) = match &settings.data {
+            Some(path) => {
+                let (replica, folder) = Replica::open(path)?;
+                (Some(RefCell::new(replica)), Some(folder))
+            }
+            None => (None, None),
         };
         let incarnation = epoch_millis();
-        Ok(Self {
+        let node = Self {
             addresses,
             changed: Event::new(),
             configuration: RefCell::new(Configuration::new()),
@@ -92,7 +96,8 @@
             socket: OnceCell::new(),
             start: Instant::now(),
             stop: Stop::default(),
-        })
+        };
+        Ok((node, folder))
     }
 
     /// Time since the process started.
--- /dev/null
+++ b/crates/daemon/src/proposals.rs
@@ -0,0 +1,175 @@
+//! Requests that only the leading store can take.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration, //
+};
+
+use codes::Code;
+use store::{
+    Answer,
+    Change,
+    Event,
+    Member,
+    StoreId, //
+};
+use tarpc::context;
+use wire::{
+    Decision,
+    Edit,
+    Identity,
+    Outcome,
+    Proposal,
+    StoreAddress, //
+};
+
+use crate::{
+    convert, links,
+    node::{
+        Node,
+        epoch_millis, //
+    },
+};
+
+/// Time after which the outcome of a request counts as unknown.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Time after which a store that does not say who it is is given up.
+const IDENTIFY_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Hands an edit to the leader, which may be this instance.
+pub async fn edit(node: &Rc<Node>, edit: Edit) -> Outcome {
+    match propose(node, Proposal::Edit(edit)).await {
+        Decision::Changed => refused(Code::EditUnknown, "the leader gave no outcome".into()),
+        Decision::Outcome(outcome) => outcome,
+        Decision::Refused(code, advice) => refused(code, advice),
+    }
+}
+
+/// Hands a request to the leader, which may be this instance. One that can't be taken is refused
+/// at once.
+pub async fn propose(node: &Rc<Node>, proposal: Proposal) -> Decision {
+    let Some(replica) = &node.replica else {
+        return no_leader("this instance is not a store");
+    };
+    if replica.borrow().raft().leads() {
+        return decide(node, proposal).await;
+    }
+    if replica.borrow().raft().cluster().is_none() {
+        let advice = "this store has not been initialised; run `mimosausher init`";
+        return Decision::Refused(Code::NotInitialised, advice.into());
+    }
+    let now = node.now();
+    let leader = replica
+        .borrow()
+        .raft()
+        .leader(now)
+        .map(|leader| leader.address);
+    match leader {
+        Some(leader) => forward(leader, proposal).await,
+        None => no_leader("no leader is known"),
+    }
+}
+
+/// Decides a request if this store leads, and refuses it otherwise.
+pub async fn decide(node: &Rc<Node>, proposal: Proposal) -> Decision {
+    let Some(replica) = &node.replica else {
+        return no_leader("this instance is not a store");
+    };
+    let receiver = match proposal {
+        Proposal::Add(store) => match member(node, store).await {
+            Ok(member) => {
+                let change = Change::Add(member);
+                let event = |token| Event::Change(change, token);
+                replica.borrow_mut().submit(event)
+            }
+            Err(refusal) => return refusal,
+        },
+        Proposal::Edit(edit) => {
+            let edit = convert::edit(edit, epoch_millis());
+            replica
+                .borrow_mut()
+                .submit(|token| Event::Edit(edit, token))
+        }
+        Proposal::Remove(name) => {
+            let change = Change::Remove(name);
+            let event = |token| Event::Change(change, token);
+            replica.borrow_mut().submit(event)
+        }
+    };
+    match compio::time::timeout(ANSWER_TIMEOUT, receiver).await {
+        Ok(Ok(Answer::Changed)) => Decision::Changed,
+        Ok(Ok(Answer::Outcome(outcome))) => Decision::Outcome(convert::outcome(outcome)),
+        Ok(Ok(Answer::Refused(code, advice))) => Decision::Refused(code, advice),
+        Ok(Err(_)) | Err(_) => unknown("the store did not answer in time"),
+    }
+}
+
+/// What this store says of its data folder.
+pub fn identity(node: &Node) -> Option<Identity> {
+    let replica = node.replica.as_ref()?.borrow();
+    Some(Identity {
+        cluster: replica.raft().cluster().map(|cluster| cluster.0),
+        id: replica.raft().id().0,
+        name: node.settings.instance.name.clone(),
+    })
+}
+
+async fn forward(leader: SocketAddr, proposal: Proposal) -> Decision {
+    let Some(client) = links::connect(leader).await else {
+        return no_leader("the leader cannot be reached");
+    };
+    let call = client.propose(context::current(), proposal);
+    match compio::time::timeout(ANSWER_TIMEOUT, call).await {
+        Ok(Ok(decision)) => decision,
+        Ok(Err(_)) | Err(_) => unknown("the leader did not answer"),
+    }
+}
+
+/// Asks a store which data folder it has.
+async fn identify(address: SocketAddr) -> Option<Identity> {
+    let client = links::connect(address).await?;
+    let call = client.identify(context::current());
+    let answer = compio::time::timeout(IDENTIFY_TIMEOUT, call).await;
+    answer.ok()?.ok()?
+}
+
+/// The store at an address, as a member of this store's log.
+async fn member(node: &Node, store: StoreAddress) -> Result<Member, Decision> {
+    let own = identity(node).and_then(|own| own.cluster);
+    let refuse = |advice: String| Decision::Refused(Code::MembersRefused, advice.into());
+    let Some(identity) = identify(store.inner).await else {
+        return Err(refuse(format!("no store answers at {}", store.inner)));
+    };
+    if identity.name != store.name {
+        let advice = format!("the store at {} is `{}`", store.inner, identity.name);
+        return Err(refuse(advice));
+    }
+    if identity.cluster.is_some() && identity.cluster != own {
+        let advice = format!("store `{}` belongs to another log", store.name);
+        return Err(refuse(advice));
+    }
+    Ok(Member {
+        address: store.inner,
+        id: StoreId(identity.id),
+        name: store.name,
+        voter: false,
+    })
+}
+
+fn no_leader(advice: &str) -> Decision {
+    Decision::Refused(Code::NoLeader, advice.into())
+}
+
+fn refused(code: Code, advice: Box<str>) -> Outcome {
+    Outcome::Refused {
+        advice,
+        code,
+        version: 0,
+    }
+}
+
+fn unknown(advice: &str) -> Decision {
+    Decision::Refused(Code::EditUnknown, advice.into())
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -21,6 +21,7 @@
 use crate::{
     admin::Admin,
     datagrams,
+    driver,
     error::Error,
     exit::Exit,
     fabric,
@@ -103,12 +104,16 @@
 async fn serve(settings: Settings) -> Result<(), Error> {
     let listeners = Listeners::open(&settings.listen).await?;
     let addresses = listeners.addresses().map_err(Error::Runtime)?;
-    let node = Rc::new(Node::new(settings, addresses)?);
+    let (node, folder) = Node::new(settings, addresses)?;
+    let node = Rc::new(node);
     let socket = Rc::new(listeners.datagrams);
     // The cell is empty: this is the only place that sets it.
     let _set = node.socket.set(socket.clone());
     spawn(datagrams::receive(node.clone(), socket)).detach();
     spawn(datagrams::beat(node.clone())).detach();
+    if let Some(folder) = folder {
+        spawn(driver::run(node.clone(), folder)).detach();
+    }
     spawn(inner::accept(node.clone(), listeners.calls)).detach();
     spawn(follower::follow(node.clone())).detach();
     spawn(stop_on_signal(node.clone())).detach();
--- /dev/null
+++ b/crates/store/src/entry.rs
@@ -0,0 +1,46 @@
+//! The log's entries.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    edit::Edit,
+    members::Members,
+    position::Position, //
+};
+
+/// What an entry does once it is committed.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+pub enum Payload {
+    /// Nothing; a new leader's first entry.
+    Blank,
+    /// Changes a section.
+    Edit(Edit),
+    /// Names the stores; in effect as soon as a store has it.
+    Members(Members),
+}
+
+/// One entry.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+pub struct Entry {
+    /// What it does.
+    pub payload: Payload,
+    /// Where it stands.
+    pub position: Position,
+}
+
+/// Size of an entry without its texts, in bytes.
+const ENTRY_BYTES: usize = 128;
+
+impl Entry {
+    /// The entry's approximate size, in bytes.
+    pub fn weight(&self) -> usize {
+        match &self.payload {
+            Payload::Blank => ENTRY_BYTES,
+            Payload::Edit(edit) => ENTRY_BYTES + edit.section.len() + edit.text.len(),
+            Payload::Members(members) => ENTRY_BYTES * (1 + members.0.len()),
+        }
+    }
+}
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -40,11 +40,17 @@
     pub fn code(&self) -> Code {
         match self {
             Self::Damaged { .. } => Code::StorageDamaged,
-            Self::Io { cause, .. } if cause.kind() == io::ErrorKind::StorageFull => {
-                Code::StorageFull
-            }
+            Self::Io { cause, .. } if full(cause) => Code::StorageFull,
             Self::Io { .. } => Code::FileUnreadable,
             Self::Locked { .. } => Code::StorageLocked,
         }
     }
 }
+
+/// Whether the disk, the quota or the largest size of a file leaves no room.
+fn full(cause: &io::Error) -> bool {
+    matches!(
+        cause.kind(),
+        io::ErrorKind::FileTooLarge | io::ErrorKind::QuotaExceeded | io::ErrorKind::StorageFull
+    )
+}
--- a/crates/store/src/ledger.rs
+++ b/crates/store/src/ledger.rs
@@ -115,6 +115,16 @@
             .map(|(name, stored)| (&**name, stored))
     }
 
+    /// Reads the document anew from the sections' texts.
+    pub(crate) fn rebuild(&mut self) {
+        let sections = self.sections().filter_map(|(name, stored)| {
+            let section = Section::parse(&Source::new(name, &stored.text)).ok()?;
+            Some((name.into(), section))
+        });
+        let sections = sections.collect();
+        self.document.sections = sections;
+    }
+
     fn accept(&mut self, edit: &Edit, document: Document) -> Outcome {
         let version = self.version(&edit.section).next();
         self.document = document;
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,28 +1,85 @@
 //! The replicated configuration log.
 //!
-//! [`Ledger`] is the pure state that edits are applied to; [`Journal`] keeps the applied edits on
-//! disk.
+//! [`Raft`] is the pure state machine of one store: election, replication, snapshots, members and
+//! the [`Ledger`] that the committed edits make. [`Folder`] keeps what it has to remember on disk.
+//! Between the two, and between the stores, a driver moves [`Action`]s and [`Event`]s.
 
 mod audit;
 mod edit;
+mod election;
+mod entry;
 mod error;
-mod journal;
+mod event;
+mod fingerprint;
+mod folder;
+mod following;
+mod frame;
+mod id;
 mod ledger;
+mod log;
+mod members;
+mod message;
 mod outcome;
+mod position;
+mod proposal;
+mod raft;
+mod record;
+mod replication;
+mod role;
+mod snapshot;
+mod timing;
 mod version;
 
 pub use crate::{
     audit::Audit,
     edit::Edit,
+    entry::{
+        Entry,
+        Payload, //
+    },
     error::Error,
-    journal::Journal,
+    event::{
+        Action,
+        Answer,
+        Change,
+        Event,
+        Token, //
+    },
+    folder::Folder,
+    id::{
+        ClusterId,
+        StoreId, //
+    },
     ledger::{
         Ledger,
         RETAINED_EDITS,
         RETAINED_VERSIONS,
         Stored, //
     },
+    log::Log,
+    members::{
+        Member,
+        Members, //
+    },
+    message::{
+        Body,
+        Message, //
+    },
     outcome::Outcome,
+    position::{
+        Index,
+        Position,
+        Term, //
+    },
+    raft::Raft,
+    record::{
+        Ballot,
+        Encoded,
+        Record,
+        Saved, //
+    },
+    snapshot::Snapshot,
+    timing::Timing,
     version::{
         Revision,
         Version, //
--- a/crates/store/src/outcome.rs
+++ b/crates/store/src/outcome.rs
@@ -12,7 +12,7 @@
 };
 
 /// What became of an edit; a resend gets the same.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
 pub enum Outcome {
     /// The section was changed.
     Accepted {
--- /dev/null
+++ b/crates/store/src/proposal.rs
@@ -0,0 +1,118 @@
+//! Operators' requests at the leader.
+
+use codes::Code;
+
+use crate::{
+    edit::Edit,
+    entry::Payload,
+    event::{
+        Answer,
+        Change,
+        Token, //
+    },
+    id::StoreId,
+    members::{
+        Member,
+        Members, //
+    },
+    position::Index,
+    raft::Raft,
+    role::Role, //
+};
+
+impl Raft {
+    /// Takes an edit, or refuses it at once.
+    pub(crate) fn edit(&mut self, edit: Edit, token: Token) {
+        if let Some(outcome) = self.ledger.outcome(&edit.id) {
+            return self.answer(token, Answer::Outcome(outcome.clone()));
+        }
+        self.propose(Payload::Edit(edit), token);
+    }
+
+    /// Takes a change of the members, or refuses it at once.
+    pub(crate) fn change(&mut self, change: Change, token: Token) {
+        if !self.settled() {
+            let advice = "an earlier change of the members is not yet committed";
+            return self.refuse(token, Code::MembersRefused, advice);
+        }
+        match self.changed(change) {
+            Ok(Some(members)) => self.propose(Payload::Members(members), token),
+            Ok(None) => self.answer(token, Answer::Changed),
+            Err(advice) => self.refuse(token, Code::MembersRefused, &advice),
+        }
+    }
+
+    /// Makes a learner that has caught up a voter.
+    pub(crate) fn promote(&mut self, id: StoreId) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let matched = leader.peers.get(&id).map(|peer| peer.matched);
+        let caught = matched.is_some_and(|matched| matched >= self.commit);
+        let members = self.log.members();
+        let learner = members.get(id).is_some_and(|member| !member.voter);
+        if learner && caught && self.settled() {
+            let members = members.with_voter(id);
+            self.append(Payload::Members(members));
+        }
+    }
+
+    /// Whether a change of the members may begin: the last one is committed, and so is an entry
+    /// of the leader's own term.
+    fn settled(&self) -> bool {
+        match &self.role {
+            Role::Leader(leader) => {
+                leader.start <= self.commit && self.log.members_index() <= self.commit
+            }
+            Role::Candidate(_) | Role::Follower | Role::PreCandidate(_) => true,
+        }
+    }
+
+    fn changed(&self, change: Change) -> Result<Option<Members>, Box<str>> {
+        let members = self.log.members();
+        match change {
+            Change::Add(member) => added(members, member),
+            Change::Remove(name) => match members.named(&name) {
+                Some(member) => removed(members, member.id).map(Some),
+                None => Err(format!("there is no member `{name}`").into()),
+            },
+        }
+    }
+
+    fn propose(&mut self, payload: Payload, token: Token) {
+        if !self.leads() || !self.confirmed(self.now) {
+            return self.refuse(token, Code::NoLeader, "this store does not lead");
+        }
+        let index = self.append(payload);
+        self.await_commit(index, token);
+    }
+
+    fn await_commit(&mut self, index: Index, token: Token) {
+        if let Role::Leader(leader) = &mut self.role {
+            leader.pending.insert(index, token);
+        }
+    }
+}
+
+fn added(members: &Members, member: Member) -> Result<Option<Members>, Box<str>> {
+    match members.named(&member.name) {
+        Some(other) if other.id == member.id => Ok(None),
+        Some(other) => Err(format!(
+            "member `{}` has data folder {}, not {}; remove it first",
+            other.name, other.id, member.id
+        )
+        .into()),
+        None => Ok(Some(members.with(Member {
+            voter: false,
+            ..member
+        }))),
+    }
+}
+
+fn removed(members: &Members, id: StoreId) -> Result<Members, Box<str>> {
+    let rest = members.without(id);
+    match rest.0.iter().any(|member| member.voter) {
+        true => Ok(rest),
+        false => Err("the last voter cannot be removed".into()),
+    }
+}
--- /dev/null
+++ b/crates/store/src/timing.rs
@@ -0,0 +1,38 @@
+//! The times and sizes that the state machine goes by.
+
+use std::time::Duration;
+
+/// The times and sizes that the state machine goes by.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Timing {
+    /// Least time without a leader after which a store stands for election. Each wait is drawn
+    /// between this and twice this. A leader steps down after this time without a quorum.
+    pub election: Duration,
+    /// Time between two heartbeats of a leader.
+    pub heartbeat: Duration,
+    /// Applied entries after which a snapshot takes their place.
+    pub snapshot: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            election: Duration::from_millis(600),
+            heartbeat: Duration::from_millis(100),
+            snapshot: 4096,
+        }
+    }
+}
+
+impl Timing {
+    /// Creates the usual timing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets the number of applied entries after which a snapshot is made.
+    pub const fn with_snapshot(mut self, entries: u64) -> Self {
+        self.snapshot = entries;
+        self
+    }
+}
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -6,6 +6,13 @@
     Serialize, //
 };
 
+use crate::log::{
+    Decision,
+    Identity,
+    LogMessage,
+    Proposal, //
+};
+
 /// An operator's edit of one section.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -79,4 +86,13 @@
 
     /// Waits for a document newer than the follower's; none if there is none for a while.
     async fn follow(follow: Follow) -> Option<Update>;
+
+    /// Says which data folder the store has; none from other instances.
+    async fn identify() -> Option<Identity>;
+
+    /// Takes a message of the replicated log; stores only.
+    async fn log(message: LogMessage);
+
+    /// Decides a request if this store leads, and refuses it otherwise.
+    async fn propose(proposal: Proposal) -> Decision;
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 mod endpoint;
 mod error;
 mod instance;
+mod log;
 mod server;
 
 pub use crate::{
@@ -40,5 +41,16 @@
         Addresses,
         Instance, //
     },
+    log::{
+        Decision,
+        Identity,
+        Init,
+        LogMember,
+        LogMembers,
+        LogMessage,
+        MemberChange,
+        Proposal,
+        StoreAddress, //
+    },
     server::serve, //
 };
--- a/examples/standin/src/cluster.rs
+++ b/examples/standin/src/cluster.rs
@@ -69,12 +69,42 @@
         Ok(self)
     }
 
-    /// Starts one more store.
+    /// Starts one more store and makes it a voter: by the explicit first start if it is the
+    /// first one, and by a change of the members otherwise.
+    ///
+    /// # Errors
+    ///
+    /// What the system reported, or the daemon's end before its ports were open, or `TimedOut`
+    /// if it does not become a voter.
+    pub fn with_store(self, name: &str, centre: &str) -> io::Result<Self> {
+        let cluster = self.with_bare_store(name, centre)?;
+        let count = cluster.stores.len();
+        let Some(store) = cluster.stores.last() else {
+            return Ok(cluster);
+        };
+        let address = json!({"name": name, "inner": store.address("inner")});
+        match cluster.stores.first() {
+            Some(first) if count > 1 => Self::add(first.address("admin"), &address)?,
+            _ => {
+                let body = json!({"stores": [address]}).to_string();
+                call(
+                    store.address("admin"),
+                    "POST /v1/init",
+                    &[],
+                    body.as_bytes(),
+                )?;
+            }
+        }
+        cluster.await_voters(count)?;
+        Ok(cluster)
+    }
+
+    /// Starts one more store that is no member yet.
     ///
     /// # Errors
     ///
     /// What the system reported, or the daemon's end before its ports were open.
-    pub fn with_store(mut self, name: &str, centre: &str) -> io::Result<Self> {
+    pub fn with_bare_store(mut self, name: &str, centre: &str) -> io::Result<Self> {
         let mut text = self.settings(name, centre, "store");
         let data = self.folder.path().join(format!("{name}-data"));
         let _written = write!(text, "\n[store]\ndata = {data:?}\n");
@@ -83,6 +113,55 @@
         Ok(self)
     }
 
+    /// Adds a store, by its name and inner address, through another one.
+    ///
+    /// # Errors
+    ///
+    /// What the system reported, or `TimedOut` if it is refused for long.
+    pub fn add(instance: SocketAddr, store: &Value) -> io::Result<()> {
+        Self::change(instance, &json!({"add": store}))
+    }
+
+    /// Removes a store by its name.
+    ///
+    /// # Errors
+    ///
+    /// What the system reported, or `TimedOut` if it is refused for long.
+    pub fn remove(instance: SocketAddr, name: &str) -> io::Result<()> {
+        Self::change(instance, &json!({"remove": name}))
+    }
+
+    fn change(instance: SocketAddr, body: &Value) -> io::Result<()> {
+        let body = body.to_string();
+        let start = Instant::now();
+        loop {
+            let answer = call(instance, "POST /v1/members", &[], body.as_bytes())?;
+            if answer.status == 200 {
+                return Ok(());
+            }
+            if start.elapsed() > PATIENCE {
+                return Err(io::Error::new(io::ErrorKind::TimedOut, answer.text()));
+            }
+            thread::sleep(PAUSE);
+        }
+    }
+
+    /// Waits until all running stores know a number of voters and a leader with a quorum.
+    ///
+    /// # Errors
+    ///
+    /// `TimedOut` if one of them does not.
+    pub fn await_voters(&self, count: usize) -> io::Result<()> {
+        for store in &self.stores {
+            Self::await_page(store.address("admin"), "/v1/members", |page| {
+                let members = page["members"].as_array().into_iter().flatten();
+                let voters = members.filter(|member| member["voter"] == true);
+                voters.count() == count && page["confirmed"] == true
+            })?;
+        }
+        Ok(())
+    }
+
     /// The folder of settings, logs and data.
     pub fn folder(&self) -> &Path {
         self.folder.path()
