Steering by the owners of each flow, three ways behind one trait, driven tests

Cause: the thin fabric hashed each packet over the ready endpoints, so that a drained or new endpoint moved established flows, and it scanned the directory for each packet.

Change: the trait Steer; Owners (two owners a flow in two data centres, the first packet passes through both, any other entry asks by handing the packet over and learns when it returns), Stateless and History for comparison; a bounded table; paced copying; resets and ICMP answers; the daemon uses Owners.

--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -56,9 +56,11 @@
         Ok(true)
     }
 
-    /// The service of a packet's destination.
-    pub fn by_destination(&self, destination: &steering::Destination) -> Option<&Service> {
-        self.services.get(self.addresses.get(destination)?)
+    /// The destinations of packets, each with its service.
+    pub fn destinations(&self) -> impl Iterator<Item = (&steering::Destination, &Service)> {
+        self.addresses
+            .iter()
+            .filter_map(|(destination, name)| Some((destination, self.services.get(name)?)))
     }
 
     /// The service of a request's host name.
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -33,6 +33,12 @@
 pub struct Metrics {
     /// Endpoints under a lease.
     pub endpoints: Gauge,
+    /// Bytes of flows copied to other entries.
+    pub flow_bytes: Counter,
+    /// Flows that the instance remembers.
+    pub flows: Gauge,
+    /// Packets handed to other entries.
+    pub handovers: Counter,
     /// Other instances that are present.
     pub instances: Gauge,
     /// Packets forwarded to endpoints.
@@ -51,6 +57,9 @@
     pub fn new() -> Self {
         let mut metrics = Self {
             endpoints: Gauge::default(),
+            flow_bytes: Counter::default(),
+            flows: Gauge::default(),
+            handovers: Counter::default(),
             instances: Gauge::default(),
             packets: Counter::default(),
             refusals: Family::default(),
@@ -86,6 +95,21 @@
             "Endpoints under a lease",
             self.endpoints.clone(),
         );
+        registry.register(
+            "flow_bytes",
+            "Bytes of flows copied to other entries",
+            self.flow_bytes.clone(),
+        );
+        registry.register(
+            "flows",
+            "Flows that the instance remembers",
+            self.flows.clone(),
+        );
+        registry.register(
+            "handovers",
+            "Packets handed to other entries",
+            self.handovers.clone(),
+        );
         registry.register(
             "instances",
             "Other instances that are present",
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -30,6 +30,7 @@
     error::Error,
     metrics::Metrics,
     replica::Replica,
+    router::Router,
     stop::Stop, //
 };
 
@@ -56,6 +57,8 @@
     pub metrics: Metrics,
     /// The replica of the configuration; stores only.
     pub replica: Option<RefCell<Replica>>,
+    /// The steering of flows.
+    pub router: RefCell<Router>,
     /// The settings.
     pub settings: Settings,
     /// The socket for datagrams to other instances; set once at the start.
@@ -77,6 +80,7 @@
             None => None,
         };
         let incarnation = epoch_millis();
+        let router = Router::new(&settings.instance, incarnation);
         Ok(Self {
             addresses,
             changed: Event::new(),
@@ -88,6 +92,7 @@
             members: RefCell::new(Members::new(&settings.instance.name)),
             metrics: Metrics::new(),
             replica,
+            router: RefCell::new(router),
             settings,
             socket: OnceCell::new(),
             start: Instant::now(),
--- /dev/null
+++ b/crates/daemon/src/router.rs
@@ -0,0 +1,197 @@
+//! The steering of flows with what it needs of the other state machines.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use codes::Code;
+use settings::Instance;
+use steering::{
+    Action,
+    Arrival,
+    Endpoint,
+    EndpointId,
+    FlowId,
+    Header,
+    InstanceId,
+    Owners,
+    Packet,
+    Payload,
+    Peer,
+    ServiceId,
+    Steer, //
+};
+
+use crate::node::Node;
+
+/// Flows that an instance remembers at most.
+const FLOWS: usize = 500_000;
+
+/// The steering of flows with what it needs of the other state machines.
+#[derive(Debug)]
+pub struct Router {
+    /// Where the endpoints take packets.
+    addresses: HashMap<EndpointId, SocketAddr>,
+    /// The other entries by the address of their face towards the fabric.
+    entries: HashMap<SocketAddr, InstanceId>,
+    /// Addresses of the other entries' faces towards the fabric.
+    faces: HashMap<InstanceId, SocketAddr>,
+    /// The decisions.
+    pub machine: Owners,
+    /// Revision of the document and generation of the directory that the rest was made from.
+    made: (u64, u64),
+    services: HashMap<steering::Destination, ServiceId>,
+}
+
+impl Router {
+    /// Creates the steering of an instance that knows nobody yet.
+    pub fn new(instance: &Instance, incarnation: u64) -> Self {
+        let own = Peer {
+            centre: centre(&instance.centre),
+            id: InstanceId::new(&instance.name),
+            incarnation,
+            leaving: false,
+            reachable: true,
+        };
+        Self {
+            addresses: HashMap::new(),
+            entries: HashMap::new(),
+            faces: HashMap::new(),
+            machine: Owners::new(Duration::ZERO, own, FLOWS, rand::random()),
+            made: (0, 0),
+            services: HashMap::new(),
+        }
+    }
+
+    /// Takes in what the instance knows of endpoints, services and other entries.
+    pub fn refresh(&mut self, node: &Node) {
+        let now = node.now();
+        self.made = made(node);
+        self.learn_entries(node, now);
+        self.learn_endpoints(node, now);
+    }
+
+    /// Decides on a datagram from the fabric.
+    ///
+    /// # Errors
+    ///
+    /// The code of a packet that belongs to no flow of a service.
+    pub fn packet(&mut self, node: &Node, datagram: &[u8]) -> Result<Action<Header>, Code> {
+        if self.made != made(node) {
+            self.refresh(node);
+        }
+        let arrival = self.arrival(datagram)?;
+        Ok(self.machine.packet(node.now(), &arrival))
+    }
+
+    /// Decides on a packet that another entry handed over.
+    ///
+    /// # Errors
+    ///
+    /// The code of a packet that belongs to no flow of a service.
+    pub fn handed(
+        &mut self,
+        node: &Node,
+        from: InstanceId,
+        header: Header,
+        datagram: &[u8],
+    ) -> Result<Action<Header>, Code> {
+        if self.made != made(node) {
+            self.refresh(node);
+        }
+        let arrival = self.arrival(datagram)?;
+        Ok(self.machine.handed(node.now(), from, &arrival, header))
+    }
+
+    /// The entry that sends from an address.
+    pub fn entry(&self, address: SocketAddr) -> Option<InstanceId> {
+        self.entries.get(&address).copied()
+    }
+
+    /// Where an entry takes packets.
+    pub fn face(&self, entry: InstanceId) -> Option<SocketAddr> {
+        self.faces.get(&entry).copied()
+    }
+
+    /// Where an endpoint takes packets.
+    pub fn address(&self, endpoint: EndpointId) -> Option<SocketAddr> {
+        self.addresses.get(&endpoint).copied()
+    }
+
+    fn arrival(&self, datagram: &[u8]) -> Result<Arrival, Code> {
+        let payload = Payload::new(datagram).map_err(steering::Error::code)?;
+        let packet = Packet::parse(payload.0).map_err(steering::Error::code)?;
+        let service = self.services.get(&packet.flow.destination);
+        Ok(Arrival {
+            flow: FlowId::new(&packet.flow),
+            phase: packet.phase,
+            service: service.copied().ok_or(Code::PacketAddress)?,
+        })
+    }
+
+    fn learn_entries(&mut self, node: &Node, now: Duration) {
+        let members = node.members.borrow();
+        let entries = || {
+            members
+                .iter()
+                .filter_map(|member| Some((member, member.fabric?)))
+        };
+        self.faces = entries()
+            .map(|(member, fabric)| (InstanceId::new(&member.name), fabric))
+            .collect();
+        self.entries = self.faces.iter().map(|(id, face)| (*face, *id)).collect();
+        let peers: Vec<_> = entries()
+            .map(|(member, _)| Peer {
+                centre: centre(&member.centre),
+                id: InstanceId::new(&member.name),
+                incarnation: member.incarnation,
+                leaving: false,
+                reachable: true,
+            })
+            .collect();
+        self.machine.peers(now, &peers);
+    }
+
+    fn learn_endpoints(&mut self, node: &Node, now: Duration) {
+        let configuration = node.configuration.borrow();
+        let directory = node.directory.borrow();
+        self.addresses.clear();
+        self.services.clear();
+        let mut endpoints = Vec::new();
+        for (destination, service) in configuration.destinations() {
+            let id = ServiceId::new(&service.name);
+            self.services.insert(*destination, id);
+            for (_, endpoint) in directory.iter() {
+                if endpoint.service != service.name || !service.allows(&endpoint.name) {
+                    continue;
+                }
+                let known = EndpointId::new(&endpoint.name, &service.name, endpoint.incarnation);
+                self.addresses.insert(known, endpoint.address);
+                let ready = endpoint.state == directory::State::Ready;
+                endpoints.push(Endpoint {
+                    id: known,
+                    load: endpoint.load,
+                    service: id,
+                    share: if ready { Endpoint::FULL_SHARE } else { 0 },
+                    weight: u32::from(endpoint.slots)
+                        .saturating_mul(service.weight(&endpoint.name)),
+                });
+            }
+        }
+        self.machine.endpoints(now, &endpoints);
+    }
+}
+
+/// Number of a data centre that all instances derive alike.
+fn centre(name: &str) -> u64 {
+    ServiceId::new(name).0
+}
+
+/// What the router is made from changes when one of these does.
+fn made(node: &Node) -> (u64, u64) {
+    let revision = node.configuration.borrow().revision();
+    let endpoints = node.directory.borrow().iter().count();
+    (revision, u64::try_from(endpoints).unwrap_or(u64::MAX))
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -24,6 +24,7 @@
     error::Error,
     exit::Exit,
     fabric,
+    flows,
     follower,
     http,
     inner,
@@ -115,16 +116,20 @@
     let admin = http::serve(node.clone(), listeners.admin, Admin::new(node.clone()));
     let admin = spawn(admin);
     let callers = listeners.faces.map(|faces| {
-        spawn(fabric::forward(node.clone(), faces.fabric)).detach();
+        let fabric = Rc::new(faces.fabric);
+        spawn(fabric::forward(node.clone(), fabric.clone())).detach();
+        let flows = spawn(flows::tend(node.clone(), fabric));
         let handler = Requests::new(node.clone());
-        spawn(http::serve(node.clone(), faces.requests, handler))
+        let requests = spawn(http::serve(node.clone(), faces.requests, handler));
+        (flows, requests)
     });
     if let Ok(line) = serde_json::to_string(&node.addresses) {
         println!("{line}");
     }
     log::info!(name = &*node.settings.instance.name; "started");
-    if let Some(callers) = callers {
-        let _ended = callers.await;
+    if let Some((flows, requests)) = callers {
+        let _ended = requests.await;
+        let _ended = flows.await;
     }
     let _ended = admin.await;
     log::info!("stopped");
--- /dev/null
+++ b/crates/steering/benches/capacity.rs
@@ -0,0 +1,2 @@
+//! Measures nothing yet.
+fn main() {}
--- /dev/null
+++ b/crates/steering/src/history.rs
@@ -0,0 +1,151 @@
+//! Steering by hashing with slot history.
+
+use std::{
+    collections::HashMap,
+    time::Duration, //
+};
+
+use codes::Code;
+
+use crate::{
+    action::Action,
+    arrival::{
+        Arrival,
+        Phase, //
+    },
+    endpoint::Endpoint,
+    identity::{
+        EndpointId,
+        FlowId,
+        InstanceId,
+        ServiceId, //
+    },
+    peer::Peer,
+    pool::Pool,
+    stateless::rendezvous,
+    steer::{
+        Copied,
+        Steer, //
+    },
+    view::View,
+};
+
+/// Slots of a service; a power of two.
+const SLOTS: u64 = 4096;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Slot {
+    current: Option<EndpointId>,
+    /// The endpoint before the last change.
+    previous: Option<EndpointId>,
+}
+
+/// Steering by hashing with slot history.
+///
+/// A packet in a slot that never changed goes straight to the slot's endpoint. In a changed slot
+/// the slot's owner among the entries decides: a flow whose first packet it saw since the change
+/// goes to the new endpoint, any other to the one before.
+#[derive(Clone, Debug)]
+pub struct History {
+    alive: Vec<EndpointId>,
+    opened: HashMap<FlowId, EndpointId>,
+    pool: Pool,
+    slots: HashMap<(ServiceId, u64), Slot>,
+    view: View,
+}
+
+impl History {
+    /// Creates the machine of an entry that has just started.
+    pub fn new(now: Duration, own: Peer) -> Self {
+        Self {
+            alive: Vec::new(),
+            opened: HashMap::new(),
+            pool: Pool::default(),
+            slots: HashMap::new(),
+            view: View::new(now, own),
+        }
+    }
+
+    /// Number of flows that it remembers.
+    pub fn len(&self) -> usize {
+        self.opened.len()
+    }
+
+    /// Whether it remembers no flow.
+    pub fn is_empty(&self) -> bool {
+        self.opened.is_empty()
+    }
+
+    fn decide(&mut self, arrival: &Arrival, slot: Slot) -> Action<()> {
+        if arrival.phase == Phase::Opens
+            && let Some(current) = slot.current
+        {
+            self.opened.insert(arrival.flow, current);
+        }
+        let opened = self.opened.get(&arrival.flow).copied();
+        let choice = opened.or(slot.previous).or(slot.current);
+        match choice {
+            Some(endpoint) if self.alive.contains(&endpoint) => Action::Forward(endpoint),
+            Some(_) => Action::Refuse(Code::FlowEndpointGone),
+            None => Action::Refuse(Code::FlowNoEndpoint),
+        }
+    }
+}
+
+impl Steer for History {
+    type Header = ();
+
+    fn copied(&mut self, _: Duration, _: InstanceId, _: &[Copied]) {}
+
+    fn endpoints(&mut self, _: Duration, endpoints: &[Endpoint]) {
+        self.pool.update(endpoints);
+        self.alive.clear();
+        self.alive
+            .extend(endpoints.iter().map(|endpoint| endpoint.id));
+        for endpoint in endpoints {
+            for number in 0..SLOTS {
+                let key = FlowId(number);
+                let arrival = Arrival {
+                    flow: key,
+                    phase: Phase::Opens,
+                    service: endpoint.service,
+                };
+                let chosen = rendezvous(&self.pool, &arrival, key);
+                let slot = self.slots.entry((endpoint.service, number)).or_default();
+                if chosen != slot.current {
+                    slot.previous = slot.current;
+                    slot.current = chosen;
+                }
+            }
+        }
+    }
+
+    fn handed(&mut self, _: Duration, _: InstanceId, arrival: &Arrival, (): ()) -> Action<()> {
+        let key = (arrival.service, arrival.flow.0 % SLOTS);
+        let slot = self.slots.get(&key).copied().unwrap_or_default();
+        self.decide(arrival, slot)
+    }
+
+    fn leave(&mut self, _: Duration) {}
+
+    fn left(&self) -> bool {
+        true
+    }
+
+    fn packet(&mut self, _: Duration, arrival: &Arrival) -> Action<()> {
+        let key = (arrival.service, arrival.flow.0 % SLOTS);
+        let slot = self.slots.get(&key).copied().unwrap_or_default();
+        let owner = self.view.first(FlowId(key.1));
+        match slot.current {
+            Some(endpoint) if slot.previous.is_none() => Action::Forward(endpoint),
+            Some(_) if owner != self.view.own() => Action::Pass(owner, ()),
+            Some(_) | None => self.decide(arrival, slot),
+        }
+    }
+
+    fn peers(&mut self, now: Duration, peers: &[Peer]) {
+        self.view.update(now, peers);
+    }
+
+    fn tick(&mut self, _: Duration, _: &mut Vec<(InstanceId, Copied)>) {}
+}
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -1,24 +1,69 @@
 //! Which endpoint each packet of a flow goes to.
 
+mod action;
+mod arrival;
 mod encapsulation;
+mod endpoint;
 mod error;
 mod flow;
+mod flows;
+mod header;
+mod history;
+mod identity;
+mod owners;
 mod packet;
-mod rendezvous;
+mod peer;
+mod pool;
+mod record;
+mod refusal;
+mod replication;
+mod stateless;
+mod steer;
+mod table;
+mod view;
 
 pub use crate::{
+    action::Action,
+    arrival::{
+        Arrival,
+        Phase, //
+    },
     encapsulation::{
         GRE_BYTES,
         GRE_IPV4,
         GRE_IPV6,
         Payload, //
     },
+    endpoint::Endpoint,
     error::Error,
     flow::{
         Destination,
         Flow,
         Transport, //
     },
+    header::{
+        Header,
+        MAX_HOPS,
+        Task,
+        Visited, //
+    },
+    history::History,
+    identity::{
+        EndpointId,
+        FlowId,
+        InstanceId,
+        ServiceId, //
+    },
+    owners::{
+        Learning,
+        Owners, //
+    },
     packet::Packet,
-    rendezvous::choose, //
+    peer::Peer,
+    refusal::refusal,
+    stateless::Stateless,
+    steer::{
+        Copied,
+        Steer, //
+    },
 };
--- a/crates/steering/src/packet.rs
+++ b/crates/steering/src/packet.rs
@@ -8,6 +8,7 @@
 };
 
 use crate::{
+    arrival::Phase,
     error::Error,
     flow::{
         Destination,
@@ -21,8 +22,8 @@
 pub struct Packet {
     /// The flow that it belongs to.
     pub flow: Flow,
-    /// Whether it opens a TCP connection: SYN without ACK.
-    pub opens: bool,
+    /// Its place in the flow.
+    pub phase: Phase,
 }
 
 impl Packet {
@@ -52,7 +53,11 @@
                         ip: source,
                         port: tcp.source_port(),
                     },
-                    opens: tcp.syn() && !tcp.ack(),
+                    phase: match (tcp.syn() && !tcp.ack(), tcp.fin() || tcp.rst()) {
+                        (true, _) => Phase::Opens,
+                        (false, true) => Phase::Closes,
+                        (false, false) => Phase::Follows,
+                    },
                 }),
             },
             IpNumber::UDP => match UdpSlice::from_slice(payload.payload) {
@@ -67,7 +72,7 @@
                         ip: source,
                         port: udp.source_port(),
                     },
-                    opens: false,
+                    phase: Phase::Either,
                 }),
             },
             _ => Err(Error::Protocol),
--- /dev/null
+++ b/crates/steering/tests/changes.rs
@@ -0,0 +1,152 @@
+//! Established flows through planned changes and failures, on driven machines.
+
+mod driver;
+
+use std::time::Duration;
+
+use driver::Driver;
+use mimosausher_steering::{
+    Owners,
+    ServiceId, //
+};
+
+const SEED: u64 = 7;
+
+fn machine(now: Duration, own: mimosausher_steering::Peer, seed: u64) -> Owners {
+    Owners::new(now, own, 60_000, seed)
+}
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+/// Four data centres with two entries each that hear of changes at different times.
+fn cluster(entries: usize) -> Driver<Owners> {
+    let mut driver = Driver::new(SEED, machine);
+    let service = ServiceId::new("booking-updates");
+    for _ in 0..6 {
+        driver.world.add(Duration::ZERO, service, 3);
+    }
+    for index in 0..entries {
+        let lag = Duration::from_millis(350 * (index as u64 % 5));
+        driver.start(index as u64 % 4, lag);
+    }
+    driver.run(seconds(3));
+    driver.traffic.targets.insert(service, 1_500);
+    driver.run(seconds(20));
+    driver
+}
+
+#[test]
+fn steady_no_change() {
+    let mut driver = cluster(8);
+    driver.traffic.reset();
+    driver.run(seconds(20));
+    let [mean, _] = driver.traffic.imbalance;
+    assert_eq!((driver.counts.broken, driver.counts.refused), (0, 0));
+    assert!(mean <= 1.05, "{mean}");
+}
+
+#[test]
+fn drain_uneven_updates() {
+    let mut driver = cluster(8);
+    let drained = driver.now;
+    driver.world.backends[0].drained = Some(drained);
+    driver.run(seconds(3));
+    let held = driver.traffic.held()[0];
+    driver.run(seconds(20));
+    assert_eq!((driver.counts.broken, driver.counts.refused), (0, 0));
+    assert!(driver.traffic.held()[0] <= held);
+    assert!(driver.traffic.held()[0] > 0);
+}
+
+#[test]
+fn replace_all_endpoints() {
+    let mut driver = cluster(8);
+    let service = driver.world.backends[0].service;
+    for index in 0..6 {
+        let now = driver.now;
+        driver.world.add(now, service, 3);
+        driver.run(seconds(3));
+        driver.world.backends[index].drained = Some(driver.now);
+        driver.run(seconds(6));
+    }
+    assert_eq!((driver.counts.broken, driver.counts.refused), (0, 0));
+}
+
+#[test]
+fn kill_one_entry() {
+    let mut driver = cluster(8);
+    driver.kill(2);
+    driver.run(seconds(40));
+    assert_eq!((driver.counts.broken, driver.counts.refused), (0, 0));
+}
+
+#[test]
+fn kill_second_after_copies() {
+    let mut driver = cluster(8);
+    driver.kill(2);
+    driver.run(seconds(20));
+    driver.kill(5);
+    driver.run(seconds(40));
+    assert_eq!((driver.counts.broken, driver.counts.refused), (0, 0));
+}
+
+#[test]
+fn restart_all_entries() {
+    let mut driver = cluster(8);
+    for index in 0..8 {
+        driver.stop(index);
+        driver.run(seconds(2));
+        driver.restart(index);
+        driver.run(seconds(5));
+    }
+    driver.run(seconds(20));
+    assert_eq!((driver.counts.broken, driver.counts.refused), (0, 0));
+}
+
+#[test]
+fn grow_two_to_nine() {
+    let mut driver = cluster(2);
+    for index in 2..9 {
+        driver.start(index % 4, Duration::from_millis(200 * index));
+        driver.run(seconds(4));
+    }
+    for index in 0..7 {
+        driver.stop(index);
+        driver.run(seconds(2));
+    }
+    driver.run(seconds(20));
+    assert_eq!((driver.counts.broken, driver.counts.refused), (0, 0));
+}
+
+#[test]
+fn cut_within_centre() {
+    let mut driver = cluster(8);
+    driver.cut(0, 4);
+    driver.run(seconds(30));
+    driver.mend();
+    driver.run(seconds(20));
+    assert_eq!((driver.counts.broken, driver.counts.refused), (0, 0));
+}
+
+#[test]
+fn freeze_and_resume() {
+    let mut driver = cluster(8);
+    driver.entries[3].frozen = true;
+    driver.run(seconds(10));
+    driver.entries[3].frozen = false;
+    driver.run(seconds(20));
+    assert_eq!((driver.counts.broken, driver.counts.refused), (0, 0));
+}
+
+#[test]
+fn endpoint_dies() {
+    let mut driver = cluster(8);
+    driver.world.backends[1].died = Some(driver.now);
+    let held = driver.traffic.held()[1];
+    driver.run(seconds(40));
+    assert_eq!(driver.counts.broken, 0);
+    assert_eq!(driver.traffic.held()[1], 0);
+    assert!(driver.counts.refused >= u64::from(held / 2));
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 mod datagram;
 mod endpoint;
 mod error;
+mod handover;
 mod instance;
 mod server;
 
@@ -36,6 +37,13 @@
         State, //
     },
     error::Error,
+    handover::{
+        CopiedFlows,
+        FlowDatagram,
+        Handover,
+        MAX_HANDOVER_BYTES,
+        Task, //
+    },
     instance::{
         Addresses,
         Instance, //
