--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -31,6 +31,7 @@
     error::Error,
     metrics::Metrics,
     replica::Replica,
+    router::Router,
     stop::Stop, //
 };
 
@@ -57,6 +58,8 @@
     pub metrics: Metrics,
     /// The replica of the configuration; stores only.
     pub replica: Option<RefCell<Replica>>,
+    /// The steering of flows.
+    pub router: RefCell<Router>,
     /// The settings.
     pub settings: Settings,
     /// The socket for datagrams to other instances; set once at the start.
@@ -81,6 +84,7 @@
             None => (None, None),
         };
         let incarnation = epoch_millis();
+        let router = Router::new(&settings.instance, incarnation);
         let node = Self {
             addresses,
             changed: Event::new(),
@@ -92,6 +96,7 @@
             members: RefCell::new(Members::new(&settings.instance.name)),
             metrics: Metrics::new(),
             replica,
+            router: RefCell::new(router),
             settings,
             socket: OnceCell::new(),
             start: Instant::now(),
