--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -11,7 +11,8 @@
 use crate::exit::Exit;
 
 /// A command that did not do its work.
-#[derive(Debug, Diagnostic, ThisError)]
+#[derive(Debug)]
+#[derive(Diagnostic, ThisError)]
 pub enum Error {
     /// The instance's answer could not be read.
     #[error("the answer of {instance} could not be read: {advice}")]
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -5,7 +5,8 @@
 use gumdrop::Options as Gumdrop;
 
 /// What the command line holds.
-#[derive(Debug, Gumdrop)]
+#[derive(Debug)]
+#[derive(Gumdrop)]
 pub struct Options {
     /// The subcommand.
     #[options(command)]
@@ -25,7 +26,8 @@
 }
 
 /// A subcommand with its own options.
-#[derive(Debug, Gumdrop)]
+#[derive(Debug)]
+#[derive(Gumdrop)]
 pub enum Subcommand {
     /// Changes the document.
     #[options(help = "change the document, or one section of it")]
@@ -45,7 +47,8 @@
 }
 
 /// Options of `apply`.
-#[derive(Debug, Gumdrop)]
+#[derive(Debug)]
+#[derive(Gumdrop)]
 pub struct Apply {
     /// Who edits.
     #[options(help = "who edits, for the audit trail", default = "operator")]
@@ -72,7 +75,8 @@
 }
 
 /// Options of `check`.
-#[derive(Debug, Gumdrop)]
+#[derive(Debug)]
+#[derive(Gumdrop)]
 pub struct Check {
     /// The file.
     #[options(free, required, help = "settings file or document")]
@@ -83,7 +87,8 @@
 }
 
 /// Options of `endpoints`.
-#[derive(Debug, Gumdrop)]
+#[derive(Debug)]
+#[derive(Gumdrop)]
 pub struct Endpoints {
     /// Whether to print the usage.
     #[options(help = "print this help")]
@@ -91,7 +96,8 @@
 }
 
 /// Options of `get`.
-#[derive(Debug, Gumdrop)]
+#[derive(Debug)]
+#[derive(Gumdrop)]
 pub struct Get {
     /// Whether to print the usage.
     #[options(help = "print this help")]
@@ -102,7 +108,8 @@
 }
 
 /// Options of `status`.
-#[derive(Debug, Gumdrop)]
+#[derive(Debug)]
+#[derive(Gumdrop)]
 pub struct Status {
     /// Whether to print the usage.
     #[options(help = "print this help")]
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -13,7 +13,8 @@
 };
 
 /// What an instance says of itself and of those that it knows.
-#[derive(Debug, Deserialize, Serialize)]
+#[derive(Debug)]
+#[derive(Deserialize, Serialize)]
 struct Status {
     endpoints: usize,
     instance: Instance,
--- a/crates/codes/src/lib.rs
+++ b/crates/codes/src/lib.rs
@@ -16,7 +16,8 @@
 };
 
 /// Whether the work that a result stands for may have been carried out.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Run {
     /// It may have run; only the endpoint or a later look can tell.
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -48,7 +48,8 @@
 const BODY_BYTES: usize = 4 * 1024 * 1024;
 
 /// What an instance says of itself and of those that it knows.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Status {
     endpoints: usize,
     instance: wire::Instance,
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -8,7 +8,8 @@
 use thiserror::Error as ThisError;
 
 /// A failure that ends the process.
-#[derive(Debug, ThisError)]
+#[derive(Debug)]
+#[derive(ThisError)]
 pub enum Error {
     /// A port could not be opened.
     #[error("cannot listen on {address} for {face}: {cause}")]
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -15,14 +15,16 @@
 };
 
 /// The label of counters by result code.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 pub struct CodeLabel {
     /// Number of the code.
     pub code: u16,
 }
 
 /// The label of counters by service.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 pub struct ServiceLabel {
     /// Name of the service.
     pub service: String,
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -3,7 +3,8 @@
 use gumdrop::Options as Gumdrop;
 
 /// What the command line holds.
-#[derive(Debug, Gumdrop)]
+#[derive(Debug)]
+#[derive(Gumdrop)]
 pub struct Options {
     /// Whether to check the settings and do nothing else.
     #[options(help = "check the settings file and start nothing")]
--- a/crates/daemon/src/refusal.rs
+++ b/crates/daemon/src/refusal.rs
@@ -27,7 +27,8 @@
 const RETRY_SECONDS: u16 = 1;
 
 /// The body of a refusal.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Refusal {
     /// What is wrong, and where.
     pub advice: Box<str>,
--- a/crates/settings/src/address.rs
+++ b/crates/settings/src/address.rs
@@ -15,7 +15,8 @@
 };
 
 /// The transport protocol of a flow.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Transport {
     /// Transmission control protocol, RFC 9293.
--- a/crates/settings/src/error.rs
+++ b/crates/settings/src/error.rs
@@ -11,7 +11,8 @@
 use thiserror::Error as ThisError;
 
 /// A refusal of a settings file or a document.
-#[derive(Debug, Diagnostic, ThisError)]
+#[derive(Debug)]
+#[derive(Diagnostic, ThisError)]
 pub enum Error {
     /// Two keys contradict each other, or one needs the other.
     #[diagnostic(code("1004"))]
--- a/crates/settings/src/mode.rs
+++ b/crates/settings/src/mode.rs
@@ -6,7 +6,8 @@
 };
 
 /// Whether a service is balanced by flow or by request.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Mode {
     /// Whole IP packets, forwarded to the endpoint of their flow.
--- a/crates/settings/src/raw.rs
+++ b/crates/settings/src/raw.rs
@@ -19,7 +19,8 @@
 };
 
 /// An instance's settings.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Who the instance is.
@@ -41,7 +42,8 @@
 }
 
 /// Who the instance is.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Instance {
     /// Name of its data centre.
@@ -53,7 +55,8 @@
 }
 
 /// Where the instance listens; port 0 takes a free port.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
     /// Operators, announcements, health and metrics, over HTTP.
@@ -67,7 +70,8 @@
 }
 
 /// What the instance logs.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Log {
     /// Level of all targets that have none of their own.
@@ -78,7 +82,8 @@
 }
 
 /// Where a store keeps its files.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Store {
     /// The data folder.
@@ -86,7 +91,8 @@
 }
 
 /// Who may edit the document.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Operators {
     /// The file of keys.
@@ -94,7 +100,8 @@
 }
 
 /// TLS of the admin face.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Tls {
     /// The file of the certificate chain.
@@ -104,7 +111,8 @@
 }
 
 /// The file of operators' keys.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Keys {
     /// The keys.
@@ -113,7 +121,8 @@
 }
 
 /// An operator's key.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Key {
     /// Name of an operator who may edit every section.
@@ -125,7 +134,8 @@
 }
 
 /// The operators' document.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Document {
     /// Sections by name.
@@ -134,7 +144,8 @@
 }
 
 /// A section of the document.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Section {
     /// Services in it.
@@ -145,7 +156,8 @@
 }
 
 /// A service.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// Destination address of its flows.
@@ -177,7 +189,8 @@
 }
 
 /// How a planned change unfolds.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Change {
     /// Time that a draining endpoint has, in milliseconds.
@@ -187,7 +200,8 @@
 }
 
 /// How much of a service is taken at once.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Limits {
     /// Largest body of a request, in bytes.
@@ -203,7 +217,8 @@
 }
 
 /// Times of a service's requests.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Requests {
     /// Deadline of a request that brings none, in milliseconds.
@@ -213,7 +228,8 @@
 }
 
 /// Retries of a service's requests.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Retry {
     /// Attempts of one request at most.
--- a/crates/settings/src/role.rs
+++ b/crates/settings/src/role.rs
@@ -6,7 +6,8 @@
 };
 
 /// A role that an instance takes by its settings.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Role {
     /// Balances flows and requests.
--- a/crates/steering/src/error.rs
+++ b/crates/steering/src/error.rs
@@ -4,7 +4,8 @@
 use thiserror::Error as ThisError;
 
 /// A datagram from the fabric that is not a packet of a flow.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, ThisError)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(ThisError)]
 pub enum Error {
     /// The GRE header names something other than IP, or uses options.
     #[error("GRE header 0x{0:08x} does not carry a plain IP packet")]
--- a/crates/store/src/audit.rs
+++ b/crates/store/src/audit.rs
@@ -11,7 +11,8 @@
 };
 
 /// One line of the audit trail.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Audit {
     /// Who edited.
     pub author: Box<str>,
--- a/crates/store/src/edit.rs
+++ b/crates/store/src/edit.rs
@@ -8,7 +8,8 @@
 use crate::version::Version;
 
 /// An edit of one section, as the journal keeps it.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Edit {
     /// Who edits.
     pub author: Box<str>,
--- a/crates/store/src/entry.rs
+++ b/crates/store/src/entry.rs
@@ -12,7 +12,8 @@
 };
 
 /// What an entry does once it is committed.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum Payload {
     /// Nothing; a new leader's first entry.
     Blank,
@@ -23,7 +24,8 @@
 }
 
 /// One entry.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Entry {
     /// What it does.
     pub payload: Payload,
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -9,7 +9,8 @@
 use thiserror::Error as ThisError;
 
 /// A failure of the data folder.
-#[derive(Debug, ThisError)]
+#[derive(Debug)]
+#[derive(ThisError)]
 pub enum Error {
     /// A record before the last one is damaged.
     #[error("{path:?} is damaged at byte {offset}", path = path)]
--- a/crates/store/src/id.rs
+++ b/crates/store/src/id.rs
@@ -12,13 +12,15 @@
 };
 
 /// Random number of a log, drawn at its first start; logs of two first starts never mix.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct ClusterId(pub u64);
 
 /// Random number of a data folder, drawn when the folder is made.
 ///
 /// A store that lost its disk gets a new one, and so is none of the members any more.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct StoreId(pub u64);
 
 impl Display for StoreId {
--- a/crates/store/src/ledger.rs
+++ b/crates/store/src/ledger.rs
@@ -35,7 +35,8 @@
 pub const RETAINED_VERSIONS: usize = 32;
 
 /// A section in force, or the version at which it was removed.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Stored {
     /// Its text; empty if it was removed.
     pub text: Box<str>,
@@ -46,7 +47,8 @@
 /// The document as the accepted edits made it, with the answers that were given.
 ///
 /// The same edits applied in the same order give the same ledger on every store.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 pub struct Ledger {
     audit: VecDeque<Audit>,
     #[serde(skip)]
--- a/crates/store/src/members.rs
+++ b/crates/store/src/members.rs
@@ -10,7 +10,8 @@
 use crate::id::StoreId;
 
 /// One store.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Member {
     /// Its inner address.
     pub address: SocketAddr,
@@ -23,7 +24,8 @@
 }
 
 /// The stores that keep the log, as one entry of the log names them.
-#[derive(Clone, Debug, Default, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Members(pub Box<[Member]>);
 
 impl Members {
--- a/crates/store/src/message.rs
+++ b/crates/store/src/message.rs
@@ -19,7 +19,8 @@
 };
 
 /// What a message says.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum Body {
     /// The leader's entries after `previous`, and how far it knows them committed.
     Append {
@@ -85,7 +86,8 @@
 }
 
 /// A message between two stores.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Message {
     /// What it says.
     pub body: Body,
--- a/crates/store/src/outcome.rs
+++ b/crates/store/src/outcome.rs
@@ -12,7 +12,8 @@
 };
 
 /// What became of an edit; a resend gets the same.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum Outcome {
     /// The section was changed.
     Accepted {
--- a/crates/store/src/position.rs
+++ b/crates/store/src/position.rs
@@ -6,9 +6,8 @@
 };
 
 /// Number of an entry; the first entry has number 1.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct Index(pub u64);
 
 impl Index {
@@ -24,9 +23,8 @@
 }
 
 /// Number of an election; there is at most one leader a term.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct Term(pub u64);
 
 impl Term {
@@ -37,9 +35,8 @@
 }
 
 /// An entry's term and index; the greater one is the more recent.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct Position {
     /// Term of the leader that made the entry.
     pub term: Term,
--- a/crates/store/src/record.rs
+++ b/crates/store/src/record.rs
@@ -20,7 +20,8 @@
 };
 
 /// The term, and who got this store's vote in it.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Ballot {
     /// The term.
     pub term: Term,
@@ -29,7 +30,8 @@
 }
 
 /// An encoded snapshot.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Encoded {
     /// Its bytes.
     pub bytes: Arc<[u8]>,
@@ -38,7 +40,8 @@
 }
 
 /// One record of the log's file, in the order in which they were made.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum Record {
     /// A new ballot.
     Ballot(Ballot),
--- a/crates/store/src/snapshot.rs
+++ b/crates/store/src/snapshot.rs
@@ -15,7 +15,8 @@
 };
 
 /// The state that the entries up to a position made.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct Snapshot {
     /// The ledger.
     pub ledger: Ledger,
--- a/crates/store/src/version.rs
+++ b/crates/store/src/version.rs
@@ -12,9 +12,8 @@
 };
 
 /// Number of a state of the whole document; grows by one with each accepted edit.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct Revision(pub u64);
 
 impl Revision {
@@ -31,9 +30,8 @@
 }
 
 /// Number of a state of one section; 0 means that there is no such section.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct Version(pub u64);
 
 impl Version {
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -14,7 +14,8 @@
 };
 
 /// An operator's edit of one section.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Edit {
     /// Who edits.
@@ -30,7 +31,8 @@
 }
 
 /// What became of an edit.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Outcome {
     /// It is synced to disk and will be in force everywhere.
@@ -52,7 +54,8 @@
 }
 
 /// A section's text and version.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct SectionText {
     /// Name of the section.
     pub name: Box<str>,
@@ -63,14 +66,16 @@
 }
 
 /// What a follower asks for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Follow {
     /// Revision that the follower has.
     pub revision: u64,
 }
 
 /// A newer document for a follower.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Update {
     /// Revision of the document.
     pub revision: u64,
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -15,7 +15,8 @@
 pub const MAX_DATAGRAM_BYTES: usize = 65_507;
 
 /// A datagram between instances.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum Datagram {
     /// An endpoint's announcement, passed on by the instance that received it.
     Announcement(Announcement),
--- a/crates/wire/src/endpoint.rs
+++ b/crates/wire/src/endpoint.rs
@@ -8,7 +8,8 @@
 };
 
 /// An endpoint's own word on whether it takes work.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
     /// Finishes what it has and takes nothing new.
@@ -20,7 +21,8 @@
 }
 
 /// What an endpoint says of itself, as JSON over HTTP and as a datagram between instances.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Announcement {
     /// Where it takes requests, or packets as GRE in UDP.
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -6,7 +6,8 @@
 use thiserror::Error as ThisError;
 
 /// A failure of a call or datagram between instances.
-#[derive(Debug, ThisError)]
+#[derive(Debug)]
+#[derive(ThisError)]
 pub enum Error {
     /// The bytes are not a message of this protocol.
     #[error("malformed message of {length} bytes: {cause}")]
--- a/crates/wire/src/handover.rs
+++ b/crates/wire/src/handover.rs
@@ -27,7 +27,8 @@
 const MAX_VISITED: usize = 10;
 
 /// What the next entry is to do with a packet.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum Task {
     /// Finds out which endpoint the flow has.
     Ask,
@@ -36,7 +37,8 @@
 }
 
 /// Stands before a packet that one entry hands to another.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Handover {
     /// Entries that the packet has passed.
     pub hops: u8,
@@ -73,7 +75,8 @@
 }
 
 /// Flows of one endpoint.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct CopiedFlows {
     /// Identity of the endpoint.
     pub endpoint: [u8; 8],
--- a/crates/wire/src/instance.rs
+++ b/crates/wire/src/instance.rs
@@ -8,7 +8,8 @@
 };
 
 /// Where an instance is reached.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Addresses {
     /// Operators, announcements, health and metrics.
     pub admin: SocketAddr,
@@ -21,7 +22,8 @@
 }
 
 /// An instance, as heartbeats carry it.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Instance {
     /// Where it is reached.
     pub addresses: Addresses,
--- a/crates/wire/src/log.rs
+++ b/crates/wire/src/log.rs
@@ -14,7 +14,8 @@
 };
 
 /// A message of the replicated log.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct LogMessage {
     /// The sender's inner address.
     pub address: SocketAddr,
@@ -23,7 +24,8 @@
 }
 
 /// What a store says of its data folder.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Identity {
     /// The log that it belongs to; none before the first start.
     pub cluster: Option<u64>,
@@ -34,7 +36,8 @@
 }
 
 /// A request that only the leader can take.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum Proposal {
     /// Adds a store.
     Add(StoreAddress),
@@ -45,7 +48,8 @@
 }
 
 /// The leader's answer.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum Decision {
     /// The members were changed.
     Changed,
@@ -56,7 +60,8 @@
 }
 
 /// Where a store is reached.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct StoreAddress {
     /// Its inner address.
@@ -66,7 +71,8 @@
 }
 
 /// The stores of the first start.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Init {
     /// The stores, the one that is asked among them.
@@ -74,7 +80,8 @@
 }
 
 /// A change of the stores, as operators ask for it.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum MemberChange {
     /// Adds a store.
@@ -84,7 +91,8 @@
 }
 
 /// One store of the log.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct LogMember {
     /// Its data folder's id, 16 hexadecimal digits.
     pub id: Box<str>,
@@ -97,7 +105,8 @@
 }
 
 /// The stores of the log, as one of them knows them.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct LogMembers {
     /// Whether the store was in contact with a quorum within the last election timeout.
     pub confirmed: bool,
--- a/examples/standin/src/announcer.rs
+++ b/examples/standin/src/announcer.rs
@@ -10,7 +10,8 @@
 use crate::http::call;
 
 /// An announcement, as it is sent as JSON.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Announcer {
     /// Where the endpoint is reached.
     pub address: SocketAddr,
--- a/examples/standin/src/bin/caller.rs
+++ b/examples/standin/src/bin/caller.rs
@@ -21,7 +21,8 @@
 const PACKETS: usize = 8;
 
 /// What the command line holds.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 struct Arguments {
     #[options(help = "address and port of the service's flows", required)]
     destination: Option<SocketAddrV4>,
--- a/examples/standin/src/bin/endpoint.rs
+++ b/examples/standin/src/bin/endpoint.rs
@@ -20,7 +20,8 @@
 const INTERVAL: Duration = Duration::from_millis(500);
 
 /// What the command line holds.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 struct Arguments {
     #[options(help = "admin addresses of instances to announce to")]
     announce: Vec<SocketAddr>,
--- a/examples/standin/src/figure.rs
+++ b/examples/standin/src/figure.rs
@@ -3,7 +3,8 @@
 use serde::Serialize;
 
 /// A figure of a benchmark, printed as one JSON object a line.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Figure<'a> {
     /// What was measured.
     pub figure: &'a str,
