--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -18,14 +18,16 @@
 const HEADER_BYTES: u64 = 28;
 
 /// The label of counters by result code.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 pub struct CodeLabel {
     /// Number of the code.
     pub code: u16,
 }
 
 /// The label of counters by service.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 pub struct ServiceLabel {
     /// Name of the service.
     pub service: String,
@@ -38,6 +40,12 @@
     pub control: Counter,
     /// Endpoints under a lease.
     pub endpoints: Gauge,
+    /// Bytes of flows copied to other entries.
+    pub flow_bytes: Counter,
+    /// Flows that the instance remembers.
+    pub flows: Gauge,
+    /// Packets handed to other entries.
+    pub handovers: Counter,
     /// Other instances that are present.
     pub instances: Gauge,
     /// Packets forwarded to endpoints.
@@ -57,6 +65,9 @@
         let mut metrics = Self {
             control: Counter::default(),
             endpoints: Gauge::default(),
+            flow_bytes: Counter::default(),
+            flows: Gauge::default(),
+            handovers: Counter::default(),
             instances: Gauge::default(),
             packets: Counter::default(),
             refusals: Family::default(),
@@ -103,6 +114,21 @@
             "Endpoints under a lease",
             self.endpoints.clone(),
         );
+        registry.register(
+            "flow_bytes",
+            "Bytes of flows copied to other entries",
+            self.flow_bytes.clone(),
+        );
+        registry.register(
+            "flows",
+            "Flows that the instance remembers",
+            self.flows.clone(),
+        );
+        registry.register(
+            "handovers",
+            "Packets handed to other entries",
+            self.handovers.clone(),
+        );
         registry.register(
             "instances",
             "Other instances that are present",
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -23,6 +23,7 @@
 use event_listener::Event;
 use membership::Members;
 use settings::Settings;
+use store::Folder;
 use wire::Addresses;
 
 use crate::{
@@ -32,6 +33,7 @@
     error::Error,
     metrics::Metrics,
     replica::Replica,
+    router::Router,
     stop::Stop, //
 };
 
@@ -58,6 +60,8 @@
     pub relay: RefCell<Relay>,
     /// The replica of the configuration; stores only.
     pub replica: Option<RefCell<Replica>>,
+    /// The steering of flows.
+    pub router: RefCell<Router>,
     /// The settings.
     pub settings: Settings,
     /// The socket for datagrams to other instances; set once at the start.
@@ -68,26 +72,31 @@
 }
 
 impl Node {
-    /// Creates what the tasks of a new process share.
+    /// Creates what the tasks of a new process share, and the data folder of a store.
     ///
     /// # Errors
     ///
     /// Any failure of the data folder.
-    pub fn new(settings: Settings, addresses: Addresses) -> Result<Self, Error> {
-        let replica = match &settings.data {
-            Some(folder) => Some(RefCell::new(Replica::open(folder)?)),
-            None => None,
+    pub fn new(settings: Settings, addresses: Addresses) -> Result<(Self, Option<Folder>), Error> {
+        let (replica, folder) = match &settings.data {
+            Some(path) => {
+                let (replica, folder) = Replica::open(path)?;
+                (Some(RefCell::new(replica)), Some(folder))
+            }
+            None => (None, None),
         };
+        let incarnation = epoch_millis();
+        let router = Router::new(&settings.instance, incarnation);
         let own = wire::Instance {
             addresses,
             centre: settings.instance.centre.clone(),
-            incarnation: epoch_millis(),
+            incarnation,
             name: settings.instance.name.clone(),
             store: replica.is_some(),
         };
         let own = convert_member::instance(own);
         let members = Members::new(own, &settings.seeds, rand::random());
-        Ok(Self {
+        let node = Self {
             addresses,
             changed: Event::new(),
             configuration: RefCell::new(Configuration::new()),
@@ -98,11 +107,13 @@
             metrics: Metrics::new(),
             relay: RefCell::new(Relay::new()),
             replica,
+            router: RefCell::new(router),
             settings,
             socket: OnceCell::new(),
             start: Instant::now(),
             stop: Stop::default(),
-        })
+        };
+        Ok((node, folder))
     }
 
     /// Time since the process started.
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -35,6 +35,7 @@
     },
     times::{
         FAREWELLS,
+        GREETINGS,
         INDIRECT,
         JOIN,
         PERIOD,
@@ -88,6 +89,7 @@
 pub struct Members {
     due: Due,
     favours: BTreeMap<u64, Favour>,
+    greetings: usize,
     number: u64,
     probe: Option<Probe>,
     queue: VecDeque<Box<str>>,
@@ -102,6 +104,7 @@
         Self {
             due: Due::default(),
             favours: BTreeMap::new(),
+            greetings: GREETINGS,
             number: 0,
             probe: None,
             queue: VecDeque::new(),
@@ -181,19 +184,26 @@
             return Vec::new();
         }
         self.view.learn(now, message.from, Standing::Alive);
+        let mut actions = Vec::new();
         for rumour in message.rumours {
-            self.view.learn(now, rumour.instance, rumour.standing);
+            let (to, standing) = (rumour.instance.inner, rumour.standing);
+            let new = self.view.learn(now, rumour.instance, standing);
+            if new && standing == Standing::Alive && self.greetings > 0 {
+                self.greetings -= 1;
+                actions.push(self.view.message(to, Body::Tell));
+            }
         }
         if self.view.leaving {
             return Vec::new();
         }
-        match message.body {
+        actions.extend(match message.body {
             Body::Ack { probe } => self.acknowledged(probe),
             Body::Join => self.whole_view(from),
             Body::Ping { probe } => vec![self.answer(from, &sender, probe)],
             Body::Request { probe, target } => self.favour(now, from, probe, target),
             Body::Tell => Vec::new(),
-        }
+        });
+        actions
     }
 
     /// Answers a probe; a sender that others do not take for alive learns of it.
--- a/crates/membership/src/times.rs
+++ b/crates/membership/src/times.rs
@@ -49,3 +49,6 @@
 
 /// Members that are told of a planned leave.
 pub(crate) const FAREWELLS: usize = 32;
+
+/// Members that a newly started instance makes itself known to at once.
+pub(crate) const GREETINGS: usize = 32;
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -156,15 +156,19 @@
     }
 
     /// Takes in what is said of an instance, unless later news of it are known.
-    pub fn learn(&mut self, now: Duration, instance: Instance, standing: Standing) {
+    ///
+    /// Returns whether the instance was not known before.
+    pub fn learn(&mut self, now: Duration, instance: Instance, standing: Standing) -> bool {
         if instance.name == self.own.name {
-            return self.refute(&instance, standing);
+            self.refute(&instance, standing);
+            return false;
         }
         let known = self.members.get(&instance.name);
         let order = (instance.incarnation, standing);
         let later = known.is_none_or(|known| order > (known.instance.incarnation, known.standing));
-        if !later || known.is_none() && !self.wanted(&instance) {
-            return;
+        let new = known.is_none();
+        if !later || new && !self.wanted(&instance) {
+            return false;
         }
         let name = instance.name.clone();
         let member = Member {
@@ -175,6 +179,7 @@
         self.members.insert(name.clone(), member);
         self.generation += 1;
         self.rumours.add(&name);
+        new
     }
 
     /// A message with the news that are due.
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -17,7 +17,8 @@
 pub const MAX_DATAGRAM_BYTES: usize = 65_507;
 
 /// A datagram between instances.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum Datagram {
     /// Endpoints' announcements, passed on.
     Batch(Batch),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,7 +9,9 @@
 mod datagram;
 mod endpoint;
 mod error;
+mod handover;
 mod instance;
+mod log;
 mod server;
 
 pub use crate::{
@@ -42,9 +44,27 @@
         State, //
     },
     error::Error,
+    handover::{
+        CopiedFlows,
+        FlowDatagram,
+        Handover,
+        MAX_HANDOVER_BYTES,
+        Task, //
+    },
     instance::{
         Addresses,
         Instance, //
     },
+    log::{
+        Decision,
+        Identity,
+        Init,
+        LogMember,
+        LogMembers,
+        LogMessage,
+        MemberChange,
+        Proposal,
+        StoreAddress, //
+    },
     server::serve, //
 };
