--- a/crates/codes/src/lib.rs
+++ b/crates/codes/src/lib.rs
@@ -98,6 +98,7 @@
     KeyUnknown = 3010, May, "The idempotency key's outcome is not known.";
     KeyMismatch = 3011, Not, "The idempotency key was used for another request.";
     RequestTooLarge = 3012, Not, "The request's headers or body exceed the limit.";
+    KeyAnswered = 3013, Ran, "The idempotency key's request ran; its answer is not kept.";
     AnnouncementMalformed = 4001, Not, "The announcement is not valid JSON of the expected form.";
     AnnouncementStale = 4002, Not, "A later announcement of the endpoint is already known.";
     AnnouncementConflict = 4003, Not, "The address is still held by another endpoint.";
--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -4,7 +4,7 @@
 const MAX_TOKENS: f64 = 50.0;
 
 /// Retries earned by each new request.
-const TOKENS_PER_REQUEST: f64 = 0.5;
+const TOKENS_PER_REQUEST: f64 = 1.0;
 
 /// A token bucket that new requests fill and retries empty.
 #[derive(Clone, Copy, Debug)]
@@ -23,9 +23,14 @@
         self.tokens = (self.tokens + TOKENS_PER_REQUEST).min(MAX_TOKENS);
     }
 
+    /// Whether a retry is left.
+    pub const fn any(&self) -> bool {
+        self.tokens >= 1.0
+    }
+
     /// Takes one retry out, if there is one.
     pub fn take(&mut self) -> bool {
-        let enough = self.tokens >= 1.0;
+        let enough = self.any();
         if enough {
             self.tokens -= 1.0;
         }
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -40,6 +40,7 @@
     ejections: u32,
     failures: u32,
     full: Duration,
+    idle: u16,
     peers: BTreeMap<u32, (Duration, u16)>,
     running: u16,
     since: Option<Duration>,
@@ -56,6 +57,7 @@
             ejections: 0,
             failures: 0,
             full: Duration::ZERO,
+            idle: 0,
             peers: BTreeMap::new(),
             running: 0,
             since,
@@ -70,6 +72,7 @@
     /// Takes note of a request placed here.
     pub const fn placed(&mut self) {
         self.running = self.running.saturating_add(1);
+        self.idle = self.idle.saturating_sub(1);
     }
 
     /// Takes note that a request placed here is over.
@@ -82,6 +85,7 @@
         self.failures = 0;
         self.ejections = 0;
         self.full = Duration::ZERO;
+        self.idle = (self.idle + 1).min(self.candidate.slots);
         let average = self.average.unwrap_or(time);
         let mixed = average.mul_f64(1.0 - AVERAGE_WEIGHT) + time.mul_f64(AVERAGE_WEIGHT);
         self.average = Some(mixed);
@@ -90,6 +94,7 @@
     /// Takes in a refusal of a full endpoint.
     pub fn shed(&mut self, now: Duration) {
         self.full = now + FULL;
+        self.idle = 0;
     }
 
     /// Takes in a failure; returns whether the endpoint should be ejected.
@@ -133,6 +138,7 @@
         };
         View {
             full: now < self.full,
+            idle: self.idle,
             key: self.candidate.key,
             others,
             reported: self.candidate.reported,
--- a/crates/dispatch/src/observed.rs
+++ b/crates/dispatch/src/observed.rs
@@ -31,15 +31,15 @@
 struct Rank {
     draw: u32,
     load: f32,
-    reported: f32,
     slow: bool,
+    taken: bool,
 }
 
 impl Rank {
     fn compare(&self, other: &Self) -> Ordering {
         (self.slow.cmp(&other.slow))
+            .then(self.taken.cmp(&other.taken))
             .then(self.load.total_cmp(&other.load))
-            .then(self.reported.total_cmp(&other.reported))
             .then(self.draw.cmp(&other.draw))
     }
 }
@@ -67,8 +67,8 @@
                 let rank = Rank {
                     draw: random.random(),
                     load: f32::from(busy) / f32::from(view.slots.max(1)),
-                    reported: view.reported,
                     slow: view.slow,
+                    taken: view.idle == 0,
                 };
                 (rank, view.key)
             })
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -49,6 +49,7 @@
     placed: BTreeMap<Ticket, Placed<P::Key>>,
     policy: P,
     served: bool,
+    shed: BTreeSet<Ticket>,
     waiting: BTreeSet<(Duration, Ticket)>,
     arrivals: BTreeMap<Ticket, Duration>,
 }
@@ -64,6 +65,7 @@
             placed: BTreeMap::new(),
             policy,
             served: false,
+            shed: BTreeSet::new(),
             waiting: BTreeSet::new(),
         }
     }
@@ -163,7 +165,7 @@
                 if let Some(load) = self.loads.get_mut(&placed.key) {
                     load.shed(now);
                 }
-                self.budget.take()
+                true
             }
             Outcome::Unreachable => {
                 self.failed(now, placed.key);
@@ -174,6 +176,7 @@
             true => {
                 self.arrivals.insert(ticket, placed.arrived);
                 self.waiting.insert((placed.deadline, ticket));
+                self.shed.insert(ticket);
             }
             false => actions.push(Self::refuse(Code::RequestShed, ticket)),
         }
@@ -193,7 +196,7 @@
     }
 
     fn left(&mut self, ticket: Ticket) {
-        if self.arrivals.remove(&ticket).is_some() {
+        if self.forget(ticket) {
             self.waiting.retain(|(_, waiting)| *waiting != ticket);
         }
         self.release(ticket);
@@ -213,6 +216,12 @@
         }
     }
 
+    /// Forgets what was kept of a waiting request; returns whether it waited.
+    fn forget(&mut self, ticket: Ticket) -> bool {
+        self.shed.remove(&ticket);
+        self.arrivals.remove(&ticket).is_some()
+    }
+
     fn release(&mut self, ticket: Ticket) -> Option<Placed<P::Key>> {
         let placed = self.placed.remove(&ticket)?;
         if let Some(load) = self.loads.get_mut(&placed.key) {
@@ -239,10 +248,17 @@
     /// Places waiting requests, the earliest deadline first, as long as an endpoint is chosen.
     fn place(&mut self, now: Duration, actions: &mut Vec<Action<P::Key>>) {
         while let Some((deadline, ticket)) = self.waiting.first().copied() {
-            let views = self.views(now);
+            let mut views = self.views(now);
+            let probe = self.shed.contains(&ticket) && !self.budget.any();
+            if probe {
+                views.retain(|view| view.idle > 0);
+            }
             let Some(key) = self.policy.choose(&views) else {
                 return;
             };
+            if self.shed.remove(&ticket) {
+                self.budget.take();
+            }
             self.waiting.remove(&(deadline, ticket));
             let arrived = self.arrivals.remove(&ticket).unwrap_or(now);
             if let Some(load) = self.loads.get_mut(&key) {
@@ -263,7 +279,7 @@
     fn expire(&mut self, now: Duration, actions: &mut Vec<Action<P::Key>>) {
         while self.waiting.len() > self.limits.queue {
             if let Some((_, ticket)) = self.waiting.pop_last() {
-                self.arrivals.remove(&ticket);
+                self.forget(ticket);
                 actions.push(Self::refuse(Code::RequestShed, ticket));
             }
         }
@@ -282,7 +298,7 @@
         }
         for (deadline, ticket) in refused {
             self.waiting.remove(&(deadline, ticket));
-            self.arrivals.remove(&ticket);
+            self.forget(ticket);
             let code = match deadline <= now + typical {
                 true => Code::RequestDeadline,
                 false => Code::RequestShed,
--- a/crates/dispatch/src/view.rs
+++ b/crates/dispatch/src/view.rs
@@ -5,6 +5,8 @@
 pub struct View<K> {
     /// Whether it refused a request as full a moment ago.
     pub full: bool,
+    /// Slots that this entry's own requests freed and that it has not used again.
+    pub idle: u16,
     /// Key of the endpoint.
     pub key: K,
     /// Requests that other entries said they have there.
--- a/crates/dispatch/src/vote.rs
+++ b/crates/dispatch/src/vote.rs
@@ -2,7 +2,10 @@
 
 use std::rc::Rc;
 
-use crate::claim::Reply;
+use crate::claim::{
+    ClaimId,
+    Reply, //
+};
 
 /// What the replies to a claim come to.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -14,7 +17,7 @@
     /// The request may be sent on.
     Granted,
     /// Another claim holds the key; it is to be asked for again.
-    Held,
+    Held(ClaimId),
     /// The key was used for another request.
     Mismatch,
     /// The key was answered before, and the answer is not kept.
@@ -29,7 +32,7 @@
     asked: usize,
     full: usize,
     granted: usize,
-    held: usize,
+    held: Option<ClaimId>,
     quorum: usize,
     ran: bool,
     replies: usize,
@@ -43,7 +46,7 @@
             asked,
             full: 0,
             granted: 0,
-            held: 0,
+            held: None,
             quorum,
             ran: false,
             replies: 0,
@@ -59,7 +62,7 @@
             Some(Reply::Answered(None)) => self.ran = true,
             Some(Reply::Full) => self.full += 1,
             Some(Reply::Granted) => self.granted += 1,
-            Some(Reply::Held(_)) => self.held += 1,
+            Some(Reply::Held(id)) => self.held = Some(id),
             Some(Reply::Mismatch) => return Some(Verdict::Mismatch),
             Some(Reply::Unknown) | None => {}
         }
@@ -71,12 +74,12 @@
     }
 
     /// The verdict when every holder has replied or been given up.
-    pub const fn last(&self) -> Verdict {
-        match self {
-            Self { ran: true, .. } => Verdict::Ran,
-            Self { held: 1.., .. } => Verdict::Held,
-            Self { full: 1.., .. } => Verdict::Full,
-            _ => Verdict::Unknown,
+    pub fn last(&self) -> Verdict {
+        match &self.held {
+            _ if self.ran => Verdict::Ran,
+            Some(id) => Verdict::Held(id.clone()),
+            None if self.full > 0 => Verdict::Full,
+            None => Verdict::Unknown,
         }
     }
 }
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -6,6 +6,13 @@
     Serialize, //
 };
 
+use crate::claim::{
+    Claim,
+    ClaimEnd,
+    ClaimRecord,
+    ClaimReply, //
+};
+
 /// An operator's edit of one section.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -74,9 +81,21 @@
 /// Calls that an instance answers to other instances.
 #[tarpc::service]
 pub trait Inner {
+    /// Claims an idempotency key; entries only.
+    async fn claim(claim: Claim) -> ClaimReply;
+
+    /// Hands over all claims to a new holder; none if this entry may have missed some.
+    async fn claims() -> Option<Vec<ClaimRecord>>;
+
     /// Accepts or refuses an edit; stores only.
     async fn edit(edit: Edit) -> Outcome;
 
     /// Waits for a document newer than the follower's; none if there is none for a while.
     async fn follow(follow: Follow) -> Option<Update>;
+
+    /// Takes in how the request of a claim ended; entries only.
+    async fn settle(claim: Claim, end: ClaimEnd) -> bool;
+
+    /// Whether no document has ever been in force; stores only.
+    async fn unused() -> bool;
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! `tarpc` service in `postcard` frames, and single datagrams over UDP.
 
 mod call;
+mod claim;
 mod codec;
 mod connection;
 mod datagram;
@@ -25,6 +26,12 @@
         ServeInner,
         Update, //
     },
+    claim::{
+        Claim,
+        ClaimEnd,
+        ClaimRecord,
+        ClaimReply, //
+    },
     codec::Postcard,
     connection::connect,
     datagram::{
