Requests: a retry takes one from the budget, not two; endpoints that refused nothing lately are tried alike

Cause: retry_budget_spent saw 25 retries in place of 50: an unreachable endpoint took one when the request ended and one when it was placed. slow_endpoint_last saw one endpoint take every request of an idle service, since the freed slot was preferred without end.

Change: the retry is taken when the request is placed; a freed slot counts only against endpoints that have refused within the last second.

--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -23,6 +23,10 @@
 /// Time for which an endpoint that refused as full is not tried.
 const FULL: Duration = Duration::from_millis(10);
 
+/// Time for which an endpoint that refused as full comes after those that did not, unless one of
+/// this entry's own requests has freed a slot there.
+const TAKEN: Duration = Duration::from_secs(1);
+
 /// Time for which a peer's word on its own requests counts.
 const PEER_WORD: Duration = Duration::from_secs(2);
 
@@ -44,6 +48,7 @@
     peers: BTreeMap<u32, (Duration, u16)>,
     running: u16,
     since: Option<Duration>,
+    taken: Duration,
 }
 
 impl<K: Copy> Load<K> {
@@ -61,6 +66,7 @@
             peers: BTreeMap::new(),
             running: 0,
             since,
+            taken: Duration::ZERO,
         }
     }
 
@@ -94,6 +100,7 @@
     /// Takes in a refusal of a full endpoint.
     pub fn shed(&mut self, now: Duration) {
         self.full = now + FULL;
+        self.taken = now + TAKEN;
         self.idle = 0;
     }
 
@@ -145,6 +152,7 @@
             running: self.running,
             slots: self.slots(now, limits),
             slow,
+            taken: self.idle == 0 && now < self.taken,
         }
     }
 
--- a/crates/dispatch/src/observed.rs
+++ b/crates/dispatch/src/observed.rs
@@ -68,7 +68,7 @@
                     draw: random.random(),
                     load: f32::from(busy) / f32::from(view.slots.max(1)),
                     slow: view.slow,
-                    taken: view.idle == 0,
+                    taken: view.taken,
                 };
                 (rank, view.key)
             })
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -169,7 +169,7 @@
             }
             Outcome::Unreachable => {
                 self.failed(now, placed.key);
-                self.budget.take()
+                self.budget.any()
             }
         };
         match again && now < placed.deadline {
--- a/crates/dispatch/src/view.rs
+++ b/crates/dispatch/src/view.rs
@@ -19,4 +19,6 @@
     pub slots: u16,
     /// Whether it answers much more slowly than its peers.
     pub slow: bool,
+    /// Whether it lately refused a request as full and no slot has been freed since.
+    pub taken: bool,
 }
