--- a/crates/daemon/src/connections.rs
+++ b/crates/daemon/src/connections.rs
@@ -9,13 +9,9 @@
 
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
-use hyper::{
-    body::Incoming,
-    client::conn::http1::{
-        SendRequest,
-        handshake, //
-    },
-};
+use hyper::client::conn::http1::handshake;
+
+use crate::tracked::Sender;
 
 /// Most idle connections kept to one endpoint.
 const IDLE_CONNECTIONS: usize = 32;
@@ -23,7 +19,7 @@
 /// Idle connections to endpoints, by address.
 #[derive(Debug, Default)]
 pub struct Connections {
-    idle: RefCell<BTreeMap<SocketAddr, Vec<SendRequest<Incoming>>>>,
+    idle: RefCell<BTreeMap<SocketAddr, Vec<Sender>>>,
 }
 
 impl Connections {
@@ -33,7 +29,7 @@
     }
 
     /// Takes an idle connection that is still open.
-    pub fn take(&self, address: SocketAddr) -> Option<SendRequest<Incoming>> {
+    pub fn take(&self, address: SocketAddr) -> Option<Sender> {
         let mut idle = self.idle.borrow_mut();
         let senders = idle.get_mut(&address)?;
         while let Some(sender) = senders.pop() {
@@ -45,7 +41,7 @@
     }
 
     /// Keeps a connection for a later request, if it is open.
-    pub fn keep(&self, address: SocketAddr, sender: SendRequest<Incoming>) {
+    pub fn keep(&self, address: SocketAddr, sender: Sender) {
         let mut idle = self.idle.borrow_mut();
         let senders = idle.entry(address).or_default();
         if !sender.is_closed() && senders.len() < IDLE_CONNECTIONS {
@@ -58,7 +54,7 @@
     /// # Errors
     ///
     /// What the system reported; nothing of a request has been sent.
-    pub async fn open(&self, address: SocketAddr) -> io::Result<SendRequest<Incoming>> {
+    pub async fn open(&self, address: SocketAddr) -> io::Result<Sender> {
         let stream = TcpStream::connect(address).await?;
         let (sender, connection) = handshake(HyperStream::new_plain(stream))
             .await
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,26 +5,42 @@
 //! sockets, the disk and the clock.
 
 mod admin;
+mod attempt;
+mod claims;
 mod configuration;
 mod connections;
 mod convert;
+mod convert_claims;
 mod datagrams;
+mod deadline;
+mod driver;
 mod error;
 mod exit;
 mod fabric;
 mod follower;
 mod http;
 mod inner;
+mod job;
+mod keeper;
+mod keyed;
+mod links;
 mod listeners;
 mod logs;
+mod members;
 mod metrics;
 mod node;
 mod options;
+mod pending;
+mod proposals;
 mod refusal;
+mod refused;
 mod replica;
 mod requests;
 mod run;
+mod services;
+mod slot;
 mod stop;
 mod tracked;
+mod upload;
 
 pub use crate::run::run;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -14,22 +14,21 @@
 };
 
 use compio::net::UdpSocket;
-use directory::{
-    Directory,
-    EndpointKey, //
-};
-use dispatch::Dispatch;
+use directory::Directory;
 use event_listener::Event;
 use membership::Members;
 use settings::Settings;
+use store::Folder;
 use wire::Addresses;
 
 use crate::{
+    claims::Claims,
     configuration::Configuration,
     connections::Connections,
     error::Error,
     metrics::Metrics,
     replica::Replica,
+    services::Services,
     stop::Stop, //
 };
 
@@ -40,6 +39,8 @@
     pub addresses: Addresses,
     /// Notified when the replica has changed.
     pub changed: Event,
+    /// This entry's part in the claims on idempotency keys.
+    pub claims: Claims,
     /// The document in force.
     pub configuration: RefCell<Configuration>,
     /// Idle connections to endpoints.
@@ -47,7 +48,7 @@
     /// The endpoints.
     pub directory: RefCell<Directory>,
     /// The requests that run.
-    pub dispatch: RefCell<Dispatch<EndpointKey>>,
+    pub dispatch: RefCell<Services>,
     /// Grows with each start of the process.
     pub incarnation: u64,
     /// The other instances.
@@ -66,24 +67,28 @@
 }
 
 impl Node {
-    /// Creates what the tasks of a new process share.
+    /// Creates what the tasks of a new process share, and the data folder of a store.
     ///
     /// # Errors
     ///
     /// Any failure of the data folder.
-    pub fn new(settings: Settings, addresses: Addresses) -> Result<Self, Error> {
-        let replica = match &settings.data {
-            Some(folder) => Some(RefCell::new(Replica::open(folder)?)),
-            None => None,
+    pub fn new(settings: Settings, addresses: Addresses) -> Result<(Self, Option<Folder>), Error> {
+        let (replica, folder) = match &settings.data {
+            Some(path) => {
+                let (replica, folder) = Replica::open(path)?;
+                (Some(RefCell::new(replica)), Some(folder))
+            }
+            None => (None, None),
         };
         let incarnation = epoch_millis();
-        Ok(Self {
+        let node = Self {
             addresses,
             changed: Event::new(),
+            claims: Claims::new(&settings.instance.name),
             configuration: RefCell::new(Configuration::new()),
             connections: Connections::new(),
             directory: RefCell::new(Directory::new()),
-            dispatch: RefCell::new(Dispatch::new(rand::random())),
+            dispatch: RefCell::new(Services::new()),
             incarnation,
             members: RefCell::new(Members::new(&settings.instance.name)),
             metrics: Metrics::new(),
@@ -92,7 +97,8 @@
             socket: OnceCell::new(),
             start: Instant::now(),
             stop: Stop::default(),
-        })
+        };
+        Ok((node, folder))
     }
 
     /// Time since the process started.
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -20,7 +20,9 @@
 
 use crate::{
     admin::Admin,
+    claims,
     datagrams,
+    driver,
     error::Error,
     exit::Exit,
     fabric,
@@ -103,18 +105,23 @@
 async fn serve(settings: Settings) -> Result<(), Error> {
     let listeners = Listeners::open(&settings.listen).await?;
     let addresses = listeners.addresses().map_err(Error::Runtime)?;
-    let node = Rc::new(Node::new(settings, addresses)?);
+    let (node, folder) = Node::new(settings, addresses)?;
+    let node = Rc::new(node);
     let socket = Rc::new(listeners.datagrams);
     // The cell is empty: this is the only place that sets it.
     let _set = node.socket.set(socket.clone());
     spawn(datagrams::receive(node.clone(), socket)).detach();
     spawn(datagrams::beat(node.clone())).detach();
+    if let Some(folder) = folder {
+        spawn(driver::run(node.clone(), folder)).detach();
+    }
     spawn(inner::accept(node.clone(), listeners.calls)).detach();
     spawn(follower::follow(node.clone())).detach();
     spawn(stop_on_signal(node.clone())).detach();
     let admin = http::serve(node.clone(), listeners.admin, Admin::new(node.clone()));
     let admin = spawn(admin);
     let callers = listeners.faces.map(|faces| {
+        spawn(claims::maintain(node.clone())).detach();
         spawn(fabric::forward(node.clone(), faces.fabric)).detach();
         let handler = Requests::new(node.clone());
         spawn(http::serve(node.clone(), faces.requests, handler))
@@ -125,6 +132,7 @@
     log::info!(name = &*node.settings.instance.name; "started");
     if let Some(callers) = callers {
         let _ended = callers.await;
+        node.claims.idle().await;
     }
     let _ended = admin.await;
     log::info!("stopped");
--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -1,11 +1,8 @@
-//! The share of requests that may be sent a second time.
+//! The share of requests that may be sent again.
 
 /// Most retries that can be saved up.
 const MAX_TOKENS: f64 = 50.0;
 
-/// Retries earned by each new request.
-const TOKENS_PER_REQUEST: f64 = 1.0;
-
 /// A token bucket that new requests fill and retries empty.
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
@@ -18,9 +15,9 @@
         Self { tokens: MAX_TOKENS }
     }
 
-    /// Takes note of a new request.
-    pub fn earn(&mut self) {
-        self.tokens = (self.tokens + TOKENS_PER_REQUEST).min(MAX_TOKENS);
+    /// Takes note of a new request that earns `percent` hundredths of a retry.
+    pub fn earn(&mut self, percent: u32) {
+        self.tokens = (self.tokens + f64::from(percent) / 100.0).min(MAX_TOKENS);
     }
 
     /// Whether a retry is left.
--- a/crates/dispatch/src/holder.rs
+++ b/crates/dispatch/src/holder.rs
@@ -38,6 +38,7 @@
     claim: Claim,
     made: Duration,
     settled: Option<Settled>,
+    until: Duration,
 }
 
 /// The claims that an entry holds, and what it cannot know.
@@ -77,6 +78,11 @@
         self.origin = None;
     }
 
+    /// Sets how long later claims and their answers are kept.
+    pub const fn retain(&mut self, retention: Duration) {
+        self.retention = retention;
+    }
+
     /// Takes in the members; returns whether they have changed.
     pub fn view(&mut self, now: Duration, ring: Ring) -> bool {
         if self.views.last().is_some_and(|(_, last)| *last == ring) {
@@ -259,22 +265,21 @@
 
     fn insert(&mut self, claim: Claim, made: Duration, settled: Option<Settled>) {
         let key = claim.key.clone();
-        self.expiry.insert((made + self.retention, key.clone()));
-        self.claims.insert(
-            key,
-            Held {
-                claim,
-                made,
-                settled,
-            },
-        );
+        let until = made + self.retention;
+        self.expiry.insert((until, key.clone()));
+        let held = Held {
+            claim,
+            made,
+            settled,
+            until,
+        };
+        self.claims.insert(key, held);
     }
 
     fn remove(&mut self, key: &KeyHash) {
         if let Some(held) = self.claims.remove(key) {
             self.bytes = self.bytes.saturating_sub(length(held.settled.as_ref()));
-            self.expiry
-                .remove(&(held.made + self.retention, key.clone()));
+            self.expiry.remove(&(held.until, key.clone()));
         }
     }
 }
--- a/crates/dispatch/src/limits.rs
+++ b/crates/dispatch/src/limits.rs
@@ -5,6 +5,10 @@
 /// Limits of a service at one entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
+    /// Most attempts of one request, the first among them.
+    pub attempts: u32,
+    /// Retries in a hundred requests.
+    pub percent: u32,
     /// Most requests that wait.
     pub queue: usize,
     /// Most requests that run at once.
@@ -19,6 +23,8 @@
     /// Creates the default limits.
     pub const fn new() -> Self {
         Self {
+            attempts: 3,
+            percent: 20,
             queue: 64,
             running: 4096,
             wait: Duration::from_millis(500),
@@ -26,6 +32,13 @@
         }
     }
 
+    /// Sets how often a request that could not be sent is tried again.
+    pub const fn with_retry(mut self, attempts: u32, percent: u32) -> Self {
+        self.attempts = attempts;
+        self.percent = percent;
+        self
+    }
+
     /// Sets how many requests may wait.
     pub const fn with_queue(mut self, queue: usize) -> Self {
         self.queue = queue;
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -32,9 +32,18 @@
 /// Pause until a waiting request is tried again when nothing else happens.
 const RETRY_PAUSE: Duration = Duration::from_millis(5);
 
+/// Endpoint refusals of full endpoints that are tried again, in a hundred requests.
+const PROBE_PERCENT: u32 = 100;
+
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    attempts: u32,
+    time: Duration,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Placed<K> {
-    arrived: Duration,
+    arrival: Arrival,
     deadline: Duration,
     key: K,
     since: Duration,
@@ -43,15 +52,16 @@
 /// The requests of one service at one entry: those that wait, by deadline, and those placed.
 #[derive(Clone, Debug)]
 pub struct Pool<P: Policy> {
-    budget: Budget,
+    arrivals: BTreeMap<Ticket, Arrival>,
     limits: Limits,
     loads: BTreeMap<P::Key, Load<P::Key>>,
     placed: BTreeMap<Ticket, Placed<P::Key>>,
     policy: P,
+    probes: Budget,
+    retries: Budget,
     served: bool,
     shed: BTreeSet<Ticket>,
     waiting: BTreeSet<(Duration, Ticket)>,
-    arrivals: BTreeMap<Ticket, Duration>,
 }
 
 impl<P: Policy> Pool<P> {
@@ -59,11 +69,12 @@
     pub const fn new(policy: P, limits: Limits) -> Self {
         Self {
             arrivals: BTreeMap::new(),
-            budget: Budget::new(),
             limits,
             loads: BTreeMap::new(),
             placed: BTreeMap::new(),
             policy,
+            probes: Budget::new(),
+            retries: Budget::new(),
             served: false,
             shed: BTreeSet::new(),
             waiting: BTreeSet::new(),
@@ -124,7 +135,8 @@
         ticket: Ticket,
         actions: &mut Vec<Action<P::Key>>,
     ) {
-        self.budget.earn();
+        self.probes.earn(PROBE_PERCENT);
+        self.retries.earn(self.limits.percent);
         let code = match self.waiting.len() {
             _ if self.loads.is_empty() => Some(Code::RequestNoEndpoint),
             _ if deadline <= now => Some(Code::RequestDeadline),
@@ -135,7 +147,11 @@
             actions.push(Self::refuse(code, ticket));
             return;
         }
-        self.arrivals.insert(ticket, now);
+        let arrival = Arrival {
+            attempts: 0,
+            time: now,
+        };
+        self.arrivals.insert(ticket, arrival);
         self.waiting.insert((deadline, ticket));
         self.demand();
     }
@@ -147,7 +163,7 @@
         ticket: Ticket,
         actions: &mut Vec<Action<P::Key>>,
     ) {
-        let Some(placed) = self.release(ticket) else {
+        let Some(mut placed) = self.release(ticket) else {
             return;
         };
         let again = match outcome {
@@ -165,18 +181,25 @@
                 if let Some(load) = self.loads.get_mut(&placed.key) {
                     load.shed(now);
                 }
+                // The endpoint answered: only what cannot be sent counts as an attempt.
+                placed.arrival.attempts -= 1;
                 true
             }
             Outcome::Unreachable => {
                 self.failed(now, placed.key);
-                self.budget.any()
+                placed.arrival.attempts < self.limits.attempts && self.retries.take()
             }
         };
         match again && now < placed.deadline {
             true => {
-                self.arrivals.insert(ticket, placed.arrived);
+                self.arrivals.insert(ticket, placed.arrival);
                 self.waiting.insert((placed.deadline, ticket));
-                self.shed.insert(ticket);
+                if outcome == Outcome::Shed {
+                    self.shed.insert(ticket);
+                }
+            }
+            false if outcome == Outcome::Unreachable => {
+                actions.push(Self::refuse(Code::EndpointUnreachable, ticket));
             }
             false => actions.push(Self::refuse(Code::RequestShed, ticket)),
         }
@@ -249,7 +272,7 @@
     fn place(&mut self, now: Duration, actions: &mut Vec<Action<P::Key>>) {
         while let Some((deadline, ticket)) = self.waiting.first().copied() {
             let mut views = self.views(now);
-            let probe = self.shed.contains(&ticket) && !self.budget.any();
+            let probe = self.shed.contains(&ticket) && !self.probes.any();
             if probe {
                 views.retain(|view| view.idle > 0);
             }
@@ -257,15 +280,19 @@
                 return;
             };
             if self.shed.remove(&ticket) {
-                self.budget.take();
+                self.probes.take();
             }
             self.waiting.remove(&(deadline, ticket));
-            let arrived = self.arrivals.remove(&ticket).unwrap_or(now);
+            let mut arrival = self.arrivals.remove(&ticket).unwrap_or(Arrival {
+                attempts: 0,
+                time: now,
+            });
+            arrival.attempts += 1;
             if let Some(load) = self.loads.get_mut(&key) {
                 load.placed();
             }
             let placed = Placed {
-                arrived,
+                arrival,
                 deadline,
                 key,
                 since: now,
@@ -287,7 +314,7 @@
         let (arrivals, limits) = (&self.arrivals, &self.limits);
         let mut refused = Vec::new();
         for (deadline, ticket) in &self.waiting {
-            let arrived = arrivals.get(ticket).copied().unwrap_or(now);
+            let arrived = arrivals.get(ticket).map_or(now, |arrival| arrival.time);
             match deadline {
                 _ if *deadline <= now + typical => refused.push((*deadline, *ticket)),
                 _ if now.saturating_sub(arrived) >= limits.wait => {
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -6,11 +6,19 @@
     Serialize, //
 };
 
-use crate::claim::{
-    Claim,
-    ClaimEnd,
-    ClaimRecord,
-    ClaimReply, //
+use crate::{
+    claim::{
+        Claim,
+        ClaimEnd,
+        ClaimRecord,
+        ClaimReply, //
+    },
+    log::{
+        Decision,
+        Identity,
+        LogMessage,
+        Proposal, //
+    },
 };
 
 /// An operator's edit of one section.
@@ -93,6 +101,15 @@
     /// Waits for a document newer than the follower's; none if there is none for a while.
     async fn follow(follow: Follow) -> Option<Update>;
 
+    /// Says which data folder the store has; none from other instances.
+    async fn identify() -> Option<Identity>;
+
+    /// Takes a message of the replicated log; stores only.
+    async fn log(message: LogMessage);
+
+    /// Decides a request if this store leads, and refuses it otherwise.
+    async fn propose(proposal: Proposal) -> Decision;
+
     /// Takes in how the request of a claim ended; entries only.
     async fn settle(claim: Claim, end: ClaimEnd) -> bool;
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 mod endpoint;
 mod error;
 mod instance;
+mod log;
 mod server;
 
 pub use crate::{
@@ -47,5 +48,16 @@
         Addresses,
         Instance, //
     },
+    log::{
+        Decision,
+        Identity,
+        Init,
+        LogMember,
+        LogMembers,
+        LogMessage,
+        MemberChange,
+        Proposal,
+        StoreAddress, //
+    },
     server::serve, //
 };
