--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -14,11 +14,7 @@
 };
 
 use compio::net::UdpSocket;
-use directory::{
-    Directory,
-    EndpointKey, //
-};
-use dispatch::Dispatch;
+use directory::Directory;
 use event_listener::Event;
 use membership::Members;
 use settings::Settings;
@@ -26,12 +22,14 @@
 use wire::Addresses;
 
 use crate::{
+    claims::Claims,
     configuration::Configuration,
     connections::Connections,
     error::Error,
     metrics::Metrics,
     replica::Replica,
     router::Router,
+    services::Services,
     stop::Stop, //
 };
 
@@ -42,6 +40,8 @@
     pub addresses: Addresses,
     /// Notified when the replica has changed.
     pub changed: Event,
+    /// This entry's part in the claims on idempotency keys.
+    pub claims: Claims,
     /// The document in force.
     pub configuration: RefCell<Configuration>,
     /// Idle connections to endpoints.
@@ -49,7 +49,7 @@
     /// The endpoints.
     pub directory: RefCell<Directory>,
     /// The requests that run.
-    pub dispatch: RefCell<Dispatch<EndpointKey>>,
+    pub dispatch: RefCell<Services>,
     /// Grows with each start of the process.
     pub incarnation: u64,
     /// The other instances.
@@ -88,10 +88,11 @@
         let node = Self {
             addresses,
             changed: Event::new(),
+            claims: Claims::new(&settings.instance.name),
             configuration: RefCell::new(Configuration::new()),
             connections: Connections::new(),
             directory: RefCell::new(Directory::new()),
-            dispatch: RefCell::new(Dispatch::new(rand::random())),
+            dispatch: RefCell::new(Services::new()),
             incarnation,
             members: RefCell::new(Members::new(&settings.instance.name)),
             metrics: Metrics::new(),
