--- a/crates/daemon/src/keeper.rs
+++ b/crates/daemon/src/keeper.rs
@@ -33,7 +33,8 @@
 pub const REPLAYED_HEADER: HeaderName = HeaderName::from_static("idempotency-replayed");
 
 /// An answer as it is kept.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Answer {
     body: Vec<u8>,
     headers: Vec<(Box<str>, Vec<u8>)>,
--- a/crates/wire/src/claim.rs
+++ b/crates/wire/src/claim.rs
@@ -6,7 +6,8 @@
 };
 
 /// A claim on an idempotency key.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Claim {
     /// Name of the entry that claims.
     pub claimant: Box<str>,
@@ -23,7 +24,8 @@
 }
 
 /// A holder's reply to a claim.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum ClaimReply {
     /// The key was answered before; the answer is missing if it is not kept.
     Answered(Option<Box<[u8]>>),
@@ -47,7 +49,8 @@
 }
 
 /// How the request of a claim ended.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum ClaimEnd {
     /// It was answered; the answer is missing if it is too long to be kept.
     Answered(Option<Box<[u8]>>),
@@ -58,7 +61,8 @@
 }
 
 /// A claim as it is handed over to a new holder.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ClaimRecord {
     /// Time since the claim was made, in milliseconds.
     pub age: u64,
