--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -81,6 +81,7 @@
         (&Method::GET, "/v1/document") => json(&node.configuration.borrow().sections()),
         (&Method::GET, "/v1/endpoints") => json(&endpoints::page(&node)),
         (&Method::GET, "/v1/members") => answer(&node, members::show(&node)),
+        (&Method::GET, "/v1/overview") => json(&status::overview(&node).await),
         (&Method::GET, "/v1/status") => json(&status::page(&node)),
         (&Method::POST, "/v1/announcements") => announce(&node, request).await,
         (&Method::POST, "/v1/edits") => edit(&node, request).await,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,12 +5,16 @@
 //! sockets, the disk and the clock.
 
 mod admin;
+mod attempt;
+mod claims;
 mod configuration;
 mod connections;
 mod convert;
+mod convert_claims;
 mod convert_endpoint;
 mod convert_member;
 mod datagrams;
+mod deadline;
 mod driver;
 mod endpoints;
 mod error;
@@ -20,6 +24,9 @@
 mod follower;
 mod http;
 mod inner;
+mod job;
+mod keeper;
+mod keyed;
 mod links;
 mod listeners;
 mod logs;
@@ -27,14 +34,19 @@
 mod metrics;
 mod node;
 mod options;
+mod pending;
 mod proposals;
 mod refusal;
+mod refused;
 mod replica;
 mod requests;
 mod router;
 mod run;
+mod services;
+mod slot;
 mod status;
 mod stop;
 mod tracked;
+mod upload;
 
 pub use crate::run::run;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -16,10 +16,8 @@
 use compio::net::UdpSocket;
 use directory::{
     Directory,
-    EndpointKey,
     Relay, //
 };
-use dispatch::Dispatch;
 use event_listener::Event;
 use membership::Members;
 use settings::Settings;
@@ -27,6 +25,7 @@
 use wire::Addresses;
 
 use crate::{
+    claims::Claims,
     configuration::Configuration,
     connections::Connections,
     convert_member,
@@ -34,6 +33,7 @@
     metrics::Metrics,
     replica::Replica,
     router::Router,
+    services::Services,
     stop::Stop, //
 };
 
@@ -44,6 +44,8 @@
     pub addresses: Addresses,
     /// Notified when the replica has changed.
     pub changed: Event,
+    /// This entry's part in the claims on idempotency keys.
+    pub claims: Claims,
     /// The document in force.
     pub configuration: RefCell<Configuration>,
     /// Idle connections to endpoints.
@@ -51,7 +53,9 @@
     /// The endpoints.
     pub directory: RefCell<Directory>,
     /// The requests that run.
-    pub dispatch: RefCell<Dispatch<EndpointKey>>,
+    pub dispatch: RefCell<Services>,
+    /// Grows with each start of the process.
+    pub incarnation: u64,
     /// The other instances.
     pub members: RefCell<Members>,
     /// The metrics.
@@ -92,6 +96,7 @@
             centre: settings.instance.centre.clone(),
             incarnation,
             name: settings.instance.name.clone(),
+            refutation: 0,
             store: replica.is_some(),
         };
         let own = convert_member::instance(own);
@@ -99,10 +104,12 @@
         let node = Self {
             addresses,
             changed: Event::new(),
+            claims: Claims::new(&settings.instance.name),
             configuration: RefCell::new(Configuration::new()),
             connections: Connections::new(),
             directory: RefCell::new(Directory::new()),
-            dispatch: RefCell::new(Dispatch::new(rand::random())),
+            dispatch: RefCell::new(Services::new()),
+            incarnation,
             members: RefCell::new(members),
             metrics: Metrics::new(),
             relay: RefCell::new(Relay::new()),
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     admin::Admin,
+    claims,
     datagrams,
     driver,
     error::Error,
@@ -121,6 +122,7 @@
     let admin = http::serve(node.clone(), listeners.admin, Admin::new(node.clone()));
     let admin = spawn(admin);
     let callers = listeners.faces.map(|faces| {
+        spawn(claims::maintain(node.clone())).detach();
         let fabric = Rc::new(faces.fabric);
         spawn(fabric::forward(node.clone(), fabric.clone())).detach();
         let flows = spawn(flows::tend(node.clone(), fabric));
@@ -134,6 +136,7 @@
     log::info!(name = &*node.settings.instance.name; "started");
     if let Some((flows, requests)) = callers {
         let _ended = requests.await;
+        node.claims.idle().await;
         let _ended = flows.await;
     }
     let _ended = admin.await;
--- a/crates/daemon/src/tracked.rs
+++ b/crates/daemon/src/tracked.rs
@@ -10,8 +10,8 @@
     },
 };
 
-use directory::EndpointKey;
-use dispatch::Placement;
+use dispatch::Outcome;
+use http_body_util::BodyExt;
 use hyper::{
     body::{
         Body,
@@ -23,55 +23,74 @@
     client::conn::http1::SendRequest, //
 };
 
-use crate::node::Node;
+use crate::{
+    keeper::Keeper,
+    node::Node,
+    slot::Slot,
+    upload::Upload, //
+};
+
+/// The connection that a request was sent on.
+pub type Sender = SendRequest<Upload>;
 
-/// What a placed request occupies; given back when it is dropped.
+/// An endpoint's response body with the slot and the connection of its request.
+///
+/// The connection is kept for other requests only if the body has been read to its end. Otherwise
+/// it is closed with this, which cancels the request at the endpoint; a request with an
+/// idempotency key is read to its end instead, since its answer may be asked for again.
 #[derive(Debug)]
-pub struct Occupied {
+pub struct Tracked {
+    address: SocketAddr,
+    body: Option<Incoming>,
+    keeper: Option<Keeper>,
     node: Rc<Node>,
-    placement: Placement<EndpointKey>,
-    sender: Option<(SocketAddr, SendRequest<Incoming>)>,
+    sender: Option<Sender>,
+    slot: Slot,
 }
 
-impl Occupied {
-    /// Creates the guard of a placed request.
-    pub const fn new(node: Rc<Node>, placement: Placement<EndpointKey>) -> Self {
+impl Tracked {
+    /// Ties slot and connection to the body.
+    pub fn new(
+        node: Rc<Node>,
+        slot: Slot,
+        address: SocketAddr,
+        sender: Sender,
+        body: Incoming,
+    ) -> Self {
         Self {
+            address,
+            body: Some(body),
+            keeper: None,
             node,
-            placement,
-            sender: None,
+            sender: Some(sender),
+            slot,
         }
     }
 
-    /// Adds the connection that the request was sent on.
-    pub fn with_sender(mut self, address: SocketAddr, sender: SendRequest<Incoming>) -> Self {
-        self.sender = Some((address, sender));
+    /// Adds who keeps the answer for resends of its request.
+    pub fn with_keeper(mut self, keeper: Keeper) -> Self {
+        self.keeper = Some(keeper);
         self
     }
-}
 
-impl Drop for Occupied {
-    fn drop(&mut self) {
-        self.node.dispatch.borrow_mut().ended(self.placement);
-        if let Some((address, sender)) = self.sender.take() {
-            self.node.connections.keep(address, sender);
+    /// Ends what has no body left to be read.
+    pub fn settled(mut self) -> Self {
+        if self.is_end_stream() {
+            self.end(Outcome::Answered);
         }
+        self
     }
-}
-
-/// An endpoint's response body with the guard of its request.
-#[derive(Debug)]
-pub struct Tracked {
-    body: Incoming,
-    _occupied: Occupied,
-}
 
-impl Tracked {
-    /// Ties the guard to the body.
-    pub const fn new(body: Incoming, occupied: Occupied) -> Self {
-        Self {
-            body,
-            _occupied: occupied,
+    fn end(&mut self, outcome: Outcome) {
+        self.slot.end(outcome);
+        self.body = None;
+        if let Some(sender) = self.sender.take()
+            && outcome == Outcome::Answered
+        {
+            self.node.connections.keep(self.address, sender);
+        }
+        if let Some(keeper) = self.keeper.take() {
+            keeper.end(outcome);
         }
     }
 }
@@ -84,14 +103,60 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let Some(body) = self.body.as_mut() else {
+            return Poll::Ready(None);
+        };
+        let polled = Pin::new(&mut *body).poll_frame(context);
+        let last = body.is_end_stream();
+        match &polled {
+            Poll::Pending => return Poll::Pending,
+            Poll::Ready(Some(Ok(frame))) => {
+                if let (Some(keeper), Some(data)) = (self.keeper.as_mut(), frame.data_ref()) {
+                    keeper.add(data);
+                }
+                if last {
+                    self.end(Outcome::Answered);
+                }
+            }
+            Poll::Ready(Some(Err(_))) => self.end(Outcome::Lost),
+            Poll::Ready(None) => self.end(Outcome::Answered),
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.body.as_ref().is_none_or(Body::is_end_stream)
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        match &self.body {
+            Some(body) => body.size_hint(),
+            None => SizeHint::with_exact(0),
+        }
+    }
+}
+
+impl Drop for Tracked {
+    fn drop(&mut self) {
+        let Some(body) = self.body.take() else {
+            return;
+        };
+        match (self.keeper.take(), self.sender.take()) {
+            (Some(keeper), Some(sender)) => {
+                let slot = self.slot.hand_over();
+                let rest = Self::new(self.node.clone(), slot, self.address, sender, body);
+                let rest = rest.with_keeper(keeper);
+                compio::runtime::spawn(rest.drain()).detach();
+            }
+            (Some(keeper), None) => keeper.end(Outcome::Lost),
+            (None, _) => {}
+        }
+    }
+}
+
+impl Tracked {
+    /// Reads to the end what its caller no longer waits for.
+    pub async fn drain(mut self) {
+        while let Some(Ok(_)) = self.frame().await {}
     }
 }
--- a/crates/membership/tests/net/mod.rs
+++ b/crates/membership/tests/net/mod.rs
@@ -46,6 +46,7 @@
         incarnation,
         inner: address(number),
         name: name(number).into(),
+        refutation: 0,
         requests: Some(address(number)),
         store: false,
     }
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -6,11 +6,20 @@
     Serialize, //
 };
 
-use crate::log::{
-    Decision,
-    Identity,
-    LogMessage,
-    Proposal, //
+use crate::{
+    claim::{
+        Claim,
+        ClaimEnd,
+        ClaimRecord,
+        ClaimReply, //
+    },
+    log::{
+        Decision,
+        Identity,
+        LogMessage,
+        Proposal, //
+    },
+    status::Status, //
 };
 
 /// An operator's edit of one section.
@@ -86,6 +95,12 @@
 /// Calls that an instance answers to other instances.
 #[tarpc::service]
 pub trait Inner {
+    /// Claims an idempotency key; entries only.
+    async fn claim(claim: Claim) -> ClaimReply;
+
+    /// Hands over all claims to a new holder; none if this entry may have missed some.
+    async fn claims() -> Option<Vec<ClaimRecord>>;
+
     /// Accepts or refuses an edit; stores only.
     async fn edit(edit: Edit) -> Outcome;
 
@@ -100,4 +115,13 @@
 
     /// Decides a request if this store leads, and refuses it otherwise.
     async fn propose(proposal: Proposal) -> Decision;
+
+    /// Takes in how the request of a claim ended; entries only.
+    async fn settle(claim: Claim, end: ClaimEnd) -> bool;
+
+    /// Whether no document has ever been in force; stores only.
+    async fn unused() -> bool;
+
+    /// Describes the instance.
+    async fn status() -> Status;
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! `tarpc` service in `postcard` frames, and single datagrams over UDP.
 
 mod call;
+mod claim;
 mod codec;
 mod connection;
 mod datagram;
@@ -13,6 +14,7 @@
 mod instance;
 mod log;
 mod server;
+mod status;
 
 pub use crate::{
     call::{
@@ -27,6 +29,12 @@
         ServeInner,
         Update, //
     },
+    claim::{
+        Claim,
+        ClaimEnd,
+        ClaimRecord,
+        ClaimReply, //
+    },
     codec::Postcard,
     connection::connect,
     datagram::{
@@ -66,5 +74,12 @@
         Proposal,
         StoreAddress, //
     },
-    server::serve, //
+    server::serve,
+    status::{
+        MemberStatus,
+        Overview,
+        Refusals,
+        ServiceStatus,
+        Status, //
+    },
 };
