--- /dev/null
+++ b/crates/distribution/tests/follower.rs
@@ -0,0 +1,146 @@
+//! Following: an upstream that is silent, isolated or behind is left, and revisions only grow.
+
+use std::time::Duration;
+
+use mimosausher_distribution::{
+    ASK_TIMEOUT,
+    Answer,
+    Ask,
+    Follower,
+    FollowerAction as Action,
+    FollowerEvent as Event,
+    LAG,
+    REST, //
+};
+
+const ZERO: Duration = Duration::ZERO;
+
+fn ask(to: u32, brief: bool, revision: u64) -> Action<u32> {
+    Action::Ask {
+        ask: Ask { brief, revision },
+        to,
+    }
+}
+
+fn answer(from: u32, confirmed: bool, revision: u64, update: bool) -> Event<u32> {
+    let answer = Answer {
+        confirmed,
+        revision,
+        update,
+    };
+    Event::Answer { answer, from }
+}
+
+/// A follower of the upstreams 1, 2 and 3 that has taken revision 5 from the first.
+fn settled() -> Follower<u32> {
+    let mut follower = Follower::new();
+    let actions = follower.handle(ZERO, Event::Upstreams(vec![1, 2, 3]));
+    assert_eq!(actions, [ask(1, false, 0), ask(2, true, 0)]);
+    let actions = follower.handle(ZERO, answer(1, true, 5, true));
+    assert_eq!(actions, [Action::Take(5), ask(1, false, 5)]);
+    let actions = follower.handle(ZERO, answer(2, true, 5, false));
+    assert_eq!(actions, [ask(2, true, 5)]);
+    assert!(follower.confirmed());
+    follower
+}
+
+#[test]
+fn answer_older_revision() {
+    let mut follower = settled();
+    let actions = follower.handle(ZERO, answer(1, true, 4, true));
+    assert_eq!(actions, [ask(1, false, 5)]);
+    assert_eq!(follower.revision(), 5);
+}
+
+#[test]
+fn answer_unconfirmed_restart() {
+    let mut follower = Follower::new();
+    follower.handle(ZERO, Event::Upstreams(vec![1, 2]));
+    let actions = follower.handle(ZERO, answer(1, false, 3, true));
+    assert_eq!(actions, [Action::Close(1)]);
+    assert_eq!((follower.revision(), follower.confirmed()), (0, false));
+    follower.handle(ZERO, answer(2, true, 5, false));
+    assert!(!follower.confirmed());
+    let actions = follower.handle(ZERO, answer(2, true, 5, true));
+    assert!(actions.contains(&Action::Take(5)));
+    assert!(follower.confirmed());
+}
+
+#[test]
+fn answer_unconfirmed_upstream() {
+    let mut follower = settled();
+    let actions = follower.handle(ZERO, answer(1, false, 5, false));
+    assert_eq!(actions, [Action::Close(1), ask(3, true, 5)]);
+    assert_eq!(follower.followed().collect::<Vec<_>>(), [2, 3]);
+    let actions = follower.handle(ZERO, answer(2, true, 5, false));
+    assert_eq!(actions, [ask(2, false, 5)]);
+}
+
+#[test]
+fn lost_every_upstream() {
+    let mut follower = settled();
+    for key in [1, 2, 3] {
+        follower.handle(ZERO, Event::Lost(key));
+    }
+    assert_eq!(follower.followed().count(), 0);
+    assert_eq!((follower.revision(), follower.confirmed()), (5, true));
+    assert_eq!(follower.wake(), Some(REST));
+    let actions = follower.handle(REST, Event::Tick);
+    assert_eq!(actions, [ask(1, false, 5), ask(2, true, 5)]);
+}
+
+#[test]
+fn tick_behind() {
+    let mut follower = settled();
+    let actions = follower.handle(ZERO, answer(2, true, 6, false));
+    assert_eq!(actions, [ask(2, true, 6)]);
+    assert_eq!(follower.wake(), Some(LAG));
+    let actions = follower.handle(LAG, Event::Tick);
+    assert_eq!(actions, [ask(2, false, 5)]);
+    let actions = follower.handle(LAG, answer(2, true, 6, true));
+    assert_eq!(actions, [Action::Take(6)]);
+    assert_eq!(follower.followed().collect::<Vec<_>>(), [2, 1]);
+}
+
+#[test]
+fn tick_silent_upstream() {
+    let mut follower = settled();
+    let early = ASK_TIMEOUT - Duration::from_millis(1);
+    assert_eq!(follower.handle(early, Event::Tick), []);
+    follower.handle(early, answer(2, true, 5, false));
+    let actions = follower.handle(ASK_TIMEOUT, Event::Tick);
+    assert_eq!(actions, [Action::Close(1), ask(3, true, 5)]);
+}
+
+#[test]
+fn upstreams_changed() {
+    let mut follower = settled();
+    let actions = follower.handle(ZERO, Event::Upstreams(vec![4, 2]));
+    assert_eq!(actions, [Action::Close(1), ask(4, true, 5)]);
+    assert_eq!(follower.followed().collect::<Vec<_>>(), [2, 4]);
+}
+
+#[test]
+fn handle_any_order() {
+    bolero::check!()
+        .with_type::<Vec<(u8, u8, bool, bool, u8)>>()
+        .for_each(|steps| {
+            let mut follower = settled();
+            let mut now = ZERO;
+            let mut revision = follower.revision();
+            for (kind, key, confirmed, update, number) in steps {
+                now += Duration::from_millis(u64::from(*number) * 20);
+                let key = u32::from(*key % 4);
+                let event = match kind % 4 {
+                    0 => Event::Lost(key),
+                    1 => Event::Tick,
+                    2 => Event::Upstreams((0..key).collect()),
+                    _ => answer(key, *confirmed, u64::from(*number), *update),
+                };
+                follower.handle(now, event);
+                assert!(follower.revision() >= revision);
+                assert!(follower.followed().count() <= 2);
+                revision = follower.revision();
+            }
+        });
+}
