Daemon: two followed stores, deltas, operators' keys, TLS, audit and history pages

Cause: an entry kept to a store that no quorum confirms, took the whole document with each change, and was ready with whatever the first store gave it after a restart; anyone could edit.

Change: entries drive the `Follower` of the distribution package with one call a store at a time; a store answers with just the sections that changed or went, and says whether a quorum confirms it. An entry is ready only with a document that was confirmed after its start. Edits go from store to store under one id until one tells what became of them; without any the answer is 5004, after a lost answer 5005. The pages under /v1 need a key of the settings' file; a team's key edits its own sections, an admin's all; without a file changes are taken from loopback addresses only. The face takes TLS. Connections between instances without a call for 10 s are closed.

Ruled out: an entry in a cut-off data centre that becomes ready with an unconfirmed document after its restart. It could take a document older than the one it had before, which is what may not happen; entries that did not restart go on.

Conclusion: the pages are there for the command line.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use codes::Code;
+use compio::tls::TlsAcceptor;
 use http_body_util::{
     BodyExt,
     Full,
@@ -26,16 +27,16 @@
 use wire::{
     Announcement,
     Datagram,
-    Edit,
-    Outcome, //
+    Edit, //
 };
 
 use crate::{
+    auth::Caller,
     convert,
     datagrams,
-    follower,
     http::Handler,
     node::Node,
+    operators,
     refusal::Refusal, //
 };
 
@@ -69,6 +70,10 @@
 impl Handler for Admin {
     type Body = Full<Bytes>;
 
+    fn acceptor(&self) -> Option<TlsAcceptor> {
+        self.node.auth.acceptor()
+    }
+
     fn handle(
         &self,
         request: Request<Incoming>,
@@ -78,17 +83,25 @@
 }
 
 async fn route(node: Rc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
-    let path = request.uri().path().to_owned();
+    let caller = match node.auth.permit(&request) {
+        Ok(caller) => caller,
+        Err(refusal) => return forbid(&node, &refusal),
+    };
+    let uri = request.uri().clone();
+    let path = uri.path().to_owned();
     match (request.method(), path.as_str()) {
         (&Method::GET, "/healthz") => text(StatusCode::OK, "alive\n"),
         (&Method::GET, "/metrics") => text(StatusCode::OK, &node.metrics.text()),
         (&Method::GET, "/readyz") if node.ready() => text(StatusCode::OK, "ready\n"),
         (&Method::GET, "/readyz") => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        (&Method::GET, "/v1/audit") => page(&node, operators::audit(&node, &uri).await),
         (&Method::GET, "/v1/document") => json(&node.configuration.borrow().sections()),
         (&Method::GET, "/v1/endpoints") => json(&endpoints(&node)),
+        (&Method::GET, "/v1/history") => page(&node, operators::history(&node, &uri).await),
         (&Method::GET, "/v1/status") => json(&status(&node)),
+        (&Method::GET, "/v1/watch") => json(&operators::watch(&node, &uri).await),
         (&Method::POST, "/v1/announcements") => announce(&node, request).await,
-        (&Method::POST, "/v1/edits") => edit(&node, request).await,
+        (&Method::POST, "/v1/edits") => edit(&node, caller, request).await,
         _ => text(StatusCode::NOT_FOUND, "no such page\n"),
     }
 }
@@ -110,20 +123,44 @@
     }
 }
 
-async fn edit(node: &Rc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn edit(
+    node: &Rc<Node>,
+    caller: Caller,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
     let code = Code::SyntaxInvalid;
     match read::<Edit>(request, code).await {
-        Ok(edit) => {
-            let outcome = follower::edit(node, edit).await;
-            if let Outcome::Refused { code, .. } = &outcome {
-                node.metrics.refuse(*code);
-            }
-            json(&outcome)
-        }
+        Ok(edit) => json(&operators::edit(node, caller, edit).await),
         Err(refusal) => refuse(node, code, refusal),
     }
 }
 
+/// Refuses a caller whose key is missing or does not suffice.
+fn forbid(node: &Node, refusal: &Refusal) -> Response<Full<Bytes>> {
+    let status = match refusal.code == Code::Unauthenticated.number() {
+        true => StatusCode::UNAUTHORIZED,
+        false => StatusCode::FORBIDDEN,
+    };
+    node.metrics.refuse_number(refusal.code);
+    log::info!(code = refusal.code; "refused: {}", refusal.advice);
+    refusal.response(status)
+}
+
+/// Answers with a page that may have been refused.
+fn page<T: Serialize>(node: &Node, page: Result<T, Refusal>) -> Response<Full<Bytes>> {
+    match page {
+        Ok(page) => json(&page),
+        Err(refusal) => {
+            let status = match refusal.code == Code::NoLeader.number() {
+                true => StatusCode::SERVICE_UNAVAILABLE,
+                false => StatusCode::NOT_FOUND,
+            };
+            node.metrics.refuse_number(refusal.code);
+            refusal.response(status)
+        }
+    }
+}
+
 fn endpoints(node: &Node) -> Vec<Announcement> {
     let directory = node.directory.borrow();
     let mut endpoints: Vec<_> = directory
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -9,6 +9,7 @@
     Source, //
 };
 use wire::{
+    Delta,
     SectionText,
     Update, //
 };
@@ -20,11 +21,13 @@
 pub struct Configuration {
     /// Services by the destination of their packets.
     addresses: BTreeMap<steering::Destination, Box<str>>,
+    /// The sections as they were read.
+    document: Document,
     /// Services by the host name of their requests.
     hosts: BTreeMap<Box<str>, Box<str>>,
     /// Revision of the document.
     revision: u64,
-    /// Texts of the sections.
+    /// Texts of the sections, in the order of their names.
     sections: Vec<SectionText>,
     /// Services by name.
     services: BTreeMap<Box<str>, Service>,
@@ -36,24 +39,48 @@
         Self::default()
     }
 
-    /// Takes a newer document into force; an older one changes nothing.
+    /// The configuration after a later document is taken; none if the document is not later.
     ///
     /// # Errors
     ///
-    /// The refusal of a section's text; the document in force stays.
-    pub fn update(&mut self, update: Update) -> Result<bool, settings::Error> {
-        if update.revision <= self.revision {
-            return Ok(false);
+    /// The refusal of a section's text.
+    pub fn updated(&self, update: Update) -> Result<Option<Self>, settings::Error> {
+        let delta = Delta {
+            changed: update.sections,
+            complete: true,
+            removed: Vec::new(),
+            revision: update.revision,
+        };
+        self.changed(delta)
+    }
+
+    /// The configuration after what changed is taken; none if its revision is not later.
+    ///
+    /// # Errors
+    ///
+    /// The refusal of a section's text.
+    pub fn changed(&self, delta: Delta) -> Result<Option<Self>, settings::Error> {
+        if delta.revision <= self.revision {
+            return Ok(None);
+        }
+        let mut next = match delta.complete {
+            true => Self::new(),
+            false => self.clone(),
+        };
+        for name in &delta.removed {
+            next.remove(name);
         }
-        let mut document = Document::default();
-        for section in &update.sections {
+        for section in delta.changed {
             let parsed = Section::parse(&Source::new(&section.name, &section.text))?;
-            document.sections.insert(section.name.clone(), parsed);
+            next.remove(&section.name);
+            next.document.sections.insert(section.name.clone(), parsed);
+            next.sections.push(section);
         }
-        self.revision = update.revision;
-        self.sections = update.sections;
-        self.index(&document);
-        Ok(true)
+        next.sections
+            .sort_by(|one, other| one.name.cmp(&other.name));
+        next.revision = delta.revision;
+        next.index();
+        Ok(Some(next))
     }
 
     /// The service of a packet's destination.
@@ -71,13 +98,13 @@
         self.revision
     }
 
-    /// Texts of the sections in force.
+    /// Texts of the sections in force, in the order of their names.
     pub fn sections(&self) -> &[SectionText] {
         &self.sections
     }
 
-    fn index(&mut self, document: &Document) {
-        let services = || document.services();
+    fn index(&mut self) {
+        let services = || self.document.services();
         self.addresses = services()
             .filter_map(|service| Some((destination(service.address?), service.name.clone())))
             .collect();
@@ -94,4 +121,9 @@
             .map(|service| (service.name.clone(), service.clone()))
             .collect();
     }
+
+    fn remove(&mut self, name: &str) {
+        self.document.sections.remove(name);
+        self.sections.retain(|section| &*section.name != name);
+    }
 }
--- a/crates/daemon/src/convert.rs
+++ b/crates/daemon/src/convert.rs
@@ -98,7 +98,7 @@
         base: Version(from.base),
         id: from.id,
         section: from.section,
-        team: None,
+        team: from.team,
         text: from.text,
         time,
     }
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -2,7 +2,8 @@
 
 use std::{
     io,
-    net::SocketAddr, //
+    net::SocketAddr,
+    path::PathBuf, //
 };
 
 use thiserror::Error as ThisError;
@@ -10,6 +11,21 @@
 /// A failure that ends the process.
 #[derive(Debug, ThisError)]
 pub enum Error {
+    /// A file of the certificate or its key cannot be used.
+    #[error("cannot use {path:?}: {cause}", path = path)]
+    File {
+        /// What is wrong with it.
+        cause: io::Error,
+        /// The file.
+        path: PathBuf,
+    },
+    /// The file of operators' keys was refused.
+    #[error("{}: {cause}", cause.result_code())]
+    Keys {
+        /// What is wrong with it.
+        #[from]
+        cause: settings::Error,
+    },
     /// A port could not be opened.
     #[error("cannot listen on {address} for {face}: {cause}")]
     Listen {
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -1,104 +1,194 @@
-//! Following the stores, and handing edits to them.
+//! Following the stores.
 
 use std::{
+    cell::RefCell,
+    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
     time::Duration, //
 };
 
-use codes::Code;
+use distribution::{
+    ASK_TIMEOUT,
+    Answer,
+    Ask,
+    FollowerAction as Action,
+    FollowerEvent as Event, //
+};
+use futures::{
+    StreamExt,
+    channel::mpsc::{
+        UnboundedReceiver,
+        UnboundedSender,
+        unbounded, //
+    },
+};
 use tarpc::context;
 use wire::{
-    Edit,
     Follow,
-    InnerClient,
-    Outcome,
-    Update, //
+    Followed,
+    InnerClient, //
 };
 
 use crate::{
-    inner,
-    node::Node, //
+    configuration::Configuration,
+    node::Node,
+    stores, //
 };
 
-/// Time after which a store that does not answer is given up.
-const CALL_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time after which the stores that may be followed are looked up again.
+const REFRESH: Duration = Duration::from_millis(500);
 
-/// Time after which a connection that is not made is given up.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// The connection to a store; the number tells it from earlier ones to the same store.
+struct Upstream {
+    client: Rc<RefCell<Option<InnerClient>>>,
+    number: u64,
+}
 
-/// Pause before the next store is tried.
-const PAUSE: Duration = Duration::from_millis(100);
+/// What came of a call; none if it failed.
+struct Reply {
+    followed: Option<Followed>,
+    from: SocketAddr,
+    number: u64,
+}
+
+/// Follows stores with the calls that the state machine asks for.
+struct Following {
+    node: Rc<Node>,
+    number: u64,
+    replies: UnboundedSender<Reply>,
+    upstreams: BTreeMap<SocketAddr, Upstream>,
+}
 
 /// Takes newer documents into force until the process ends.
 pub async fn follow(node: Rc<Node>) {
     if node.replica.is_some() {
         return own(node).await;
     }
-    loop {
-        for address in stores(&node) {
-            if let Some(client) = connect(address).await {
-                poll(&node, address, &client).await;
+    let (sender, receiver) = unbounded();
+    let following = Following {
+        node,
+        number: 0,
+        replies: sender,
+        upstreams: BTreeMap::new(),
+    };
+    following.run(receiver).await;
+}
+
+impl Following {
+    async fn run(mut self, mut replies: UnboundedReceiver<Reply>) {
+        let mut known = Vec::new();
+        loop {
+            let stores = stores::ranked(&self.node);
+            if stores != known {
+                known.clone_from(&stores);
+                self.handle(Event::Upstreams(stores), None);
+            }
+            match compio::time::timeout(self.pause(), replies.next()).await {
+                Ok(Some(reply)) => self.reply(reply),
+                Ok(None) => return,
+                Err(_) => self.handle(Event::Tick, None),
             }
         }
-        compio::time::sleep(PAUSE).await;
     }
-}
 
-/// Hands an edit to a store, which may be this instance.
-pub async fn edit(node: &Rc<Node>, edit: Edit) -> Outcome {
-    if let Some(replica) = &node.replica {
-        return inner::edit(node, replica, edit);
+    /// Time until the state machine or the look-up of stores is due.
+    fn pause(&self) -> Duration {
+        let wake = self.node.spread.follower.borrow().wake();
+        wake.map_or(REFRESH, |wake| {
+            wake.saturating_sub(self.node.now()).min(REFRESH)
+        })
     }
-    for address in stores(node) {
-        let Some(client) = connect(address).await else {
-            continue;
+
+    fn reply(&mut self, reply: Reply) {
+        let from = reply.from;
+        let current = self.upstreams.get(&from).map(|upstream| upstream.number);
+        if current != Some(reply.number) {
+            return;
+        }
+        let Some(followed) = reply.followed else {
+            return self.handle(Event::Lost(from), None);
         };
-        let call = client.edit(context::current(), edit);
-        return match compio::time::timeout(CALL_TIMEOUT, call).await {
-            Ok(Ok(outcome)) => outcome,
-            Ok(Err(_)) | Err(_) => Outcome::Refused {
-                advice: format!("the store at {address} did not answer").into(),
-                code: Code::EditUnknown,
-                version: 0,
-            },
+        let changed = match followed.delta {
+            Some(delta) => self.node.configuration.borrow().changed(delta),
+            None => Ok(None),
         };
+        match changed {
+            Ok(next) => {
+                let answer = Answer {
+                    confirmed: followed.confirmed,
+                    revision: followed.revision,
+                    update: next.is_some(),
+                };
+                self.handle(Event::Answer { answer, from }, next);
+            }
+            Err(error) => {
+                self.node.metrics.refuse(error.result_code());
+                log::error!(code = error.result_code().number(), revision = followed.revision;
+                    "{error}");
+                self.handle(Event::Lost(from), None);
+            }
+        }
     }
-    Outcome::Refused {
-        advice: "no store can be reached".into(),
-        code: Code::NoLeader,
-        version: 0,
-    }
-}
 
-async fn connect(address: SocketAddr) -> Option<InnerClient> {
-    match compio::time::timeout(CONNECT_TIMEOUT, wire::connect(address)).await {
-        Ok(Ok(client)) => Some(client),
-        Ok(Err(error)) => {
-            log::debug!(code = error.code().number(); "{error}");
-            None
+    fn handle(&mut self, event: Event<SocketAddr>, next: Option<Configuration>) {
+        let now = self.node.now();
+        let actions = self.node.spread.follower.borrow_mut().handle(now, event);
+        let mut next = next;
+        for action in actions {
+            match action {
+                Action::Ask { ask, to } => self.ask(ask, to),
+                Action::Close(key) => {
+                    log::info!("the store at {key} is no longer followed");
+                    self.upstreams.remove(&key);
+                }
+                Action::Take(_) => {
+                    if let Some(next) = next.take() {
+                        take(&self.node, next);
+                    }
+                }
+            }
         }
-        Err(_) => None,
     }
-}
 
-async fn poll(node: &Node, address: SocketAddr, client: &InnerClient) {
-    loop {
-        let follow = Follow {
-            revision: node.configuration.borrow().revision(),
+    fn ask(&mut self, ask: Ask, to: SocketAddr) {
+        self.number += 1;
+        let number = self.number;
+        let upstream = self.upstreams.entry(to).or_insert_with(|| Upstream {
+            client: Rc::default(),
+            number,
+        });
+        let number = upstream.number;
+        let client = upstream.client.clone();
+        let replies = self.replies.clone();
+        let call = async move {
+            let followed = call(&client, to, ask).await;
+            // The receiver lives as long as the process.
+            let _sent = replies.unbounded_send(Reply {
+                followed,
+                from: to,
+                number,
+            });
         };
-        let call = client.follow(context::current(), follow);
-        match compio::time::timeout(CALL_TIMEOUT, call).await {
-            Ok(Ok(Some(update))) => take(node, update),
-            Ok(Ok(None)) => {}
-            Ok(Err(_)) | Err(_) => {
-                log::info!("the store at {address} does not answer");
-                return;
-            }
-        }
+        compio::runtime::spawn(call).detach();
     }
 }
 
+async fn call(client: &RefCell<Option<InnerClient>>, to: SocketAddr, ask: Ask) -> Option<Followed> {
+    let known = client.borrow().clone();
+    let connected = match known {
+        Some(connected) => connected,
+        None => stores::connect(to).await?,
+    };
+    client.replace(Some(connected.clone()));
+    let follow = Follow {
+        brief: ask.brief,
+        revision: ask.revision,
+    };
+    let call = connected.follow(context::current(), follow);
+    compio::time::timeout(ASK_TIMEOUT, call).await.ok()?.ok()?
+}
+
 /// Takes the documents of this instance's own replica into force.
 async fn own(node: Rc<Node>) {
     let Some(replica) = &node.replica else {
@@ -108,40 +198,24 @@
         let listener = node.changed.listen();
         let revision = node.configuration.borrow().revision();
         let update = replica.borrow().update(revision);
-        match update {
-            Some(update) => take(&node, update),
-            None => listener.await,
+        let next = update.map(|update| node.configuration.borrow().updated(update));
+        match next {
+            Some(Ok(Some(next))) => take(&node, next),
+            Some(Err(error)) => {
+                node.metrics.refuse(error.result_code());
+                log::error!(code = error.result_code().number(); "{error}");
+                listener.await;
+            }
+            Some(Ok(None)) | None => listener.await,
         }
     }
 }
 
-fn stores(node: &Node) -> Vec<SocketAddr> {
-    let members = node.members.borrow();
-    let mut stores: Vec<_> = members
-        .iter()
-        .filter(|member| member.store)
-        .map(|member| member.inner)
-        .collect();
-    if stores.is_empty() {
-        stores.extend(&node.settings.seeds);
-    }
-    stores
-}
-
-fn take(node: &Node, update: Update) {
-    let revision = update.revision;
-    let result = node.configuration.borrow_mut().update(update);
-    match result {
-        Ok(true) => {
-            node.metrics
-                .revision
-                .set(i64::try_from(revision).unwrap_or(i64::MAX));
-            log::info!(revision; "a new document is in force");
-        }
-        Ok(false) => {}
-        Err(error) => {
-            node.metrics.refuse(error.result_code());
-            log::error!(code = error.result_code().number(), revision; "{error}");
-        }
-    }
+fn take(node: &Node, next: Configuration) {
+    let revision = next.revision();
+    node.configuration.replace(next);
+    let gauge = i64::try_from(revision).unwrap_or(i64::MAX);
+    node.metrics.revision.set(gauge);
+    node.spread.updated.notify(usize::MAX);
+    log::info!(revision; "a new document is in force");
 }
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -9,9 +9,12 @@
     time::Duration, //
 };
 
-use compio::net::{
-    TcpListener,
-    TcpStream, //
+use compio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    tls::TlsAcceptor, //
 };
 use cyper_core::{
     CompioTimer,
@@ -33,7 +36,10 @@
     service::service_fn, //
 };
 
-use crate::node::Node;
+use crate::{
+    auth::Peer,
+    node::Node, //
+};
 
 /// Time that a caller has to send a request's headers.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -49,6 +55,11 @@
     /// Body of the answers.
     type Body: Body<Data = hyper::body::Bytes, Error: Into<Box<dyn Error + Send + Sync>>> + 'static;
 
+    /// TLS of the face; none for plain HTTP.
+    fn acceptor(&self) -> Option<TlsAcceptor> {
+        None
+    }
+
     /// Answers one request.
     fn handle(
         &self,
@@ -63,6 +74,14 @@
     count: Cell<usize>,
 }
 
+impl Open {
+    /// Counts a connection out.
+    fn close(&self) {
+        self.count.set(self.count.get() - 1);
+        self.closed.notify(usize::MAX);
+    }
+}
+
 /// Accepts and answers until the planned stop; returns when all begun requests are answered.
 pub async fn serve<H: Handler + Clone + 'static>(
     node: Rc<Node>,
@@ -76,9 +95,15 @@
             Either::Right(_) => break,
         };
         match accepted {
-            Ok((stream, _)) => {
+            Ok((stream, peer)) => {
                 open.count.set(open.count.get() + 1);
-                let task = connection(node.clone(), open.clone(), stream, handler.clone());
+                let task = connection(
+                    node.clone(),
+                    open.clone(),
+                    stream,
+                    Peer(peer),
+                    handler.clone(),
+                );
                 compio::runtime::spawn(task).detach();
             }
             Err(error) => {
@@ -100,17 +125,22 @@
     node: Rc<Node>,
     open: Rc<Open>,
     stream: TcpStream,
+    peer: Peer,
     handler: H,
 ) {
-    let service = service_fn(|request| {
+    let service = service_fn(|mut request: Request<Incoming>| {
+        request.extensions_mut().insert(peer);
         let answer = handler.handle(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
+    let Some(stream) = secure(stream, handler.acceptor()).await else {
+        return open.close();
+    };
     let connection = Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(HEADER_TIMEOUT)
         .max_buf_size(HEADER_BYTES)
-        .serve_connection(HyperStream::new_plain(stream), service);
+        .serve_connection(stream, service);
     let mut connection = pin!(connection);
     let result = match select(connection.as_mut(), pin!(node.stop.wait())).await {
         Either::Left((result, _)) => result,
@@ -122,6 +152,23 @@
     if let Err(error) = result {
         log::debug!("a connection ended early: {error}");
     }
-    open.count.set(open.count.get() - 1);
-    open.closed.notify(usize::MAX);
+    open.close();
+}
+
+/// The stream as the face's TLS makes it; none if the caller does not complete the handshake.
+async fn secure(
+    stream: TcpStream,
+    acceptor: Option<TlsAcceptor>,
+) -> Option<HyperStream<TcpStream>> {
+    let Some(acceptor) = acceptor else {
+        return Some(HyperStream::new_plain(stream));
+    };
+    match compio::time::timeout(HEADER_TIMEOUT, acceptor.accept(stream)).await {
+        Ok(Ok(stream)) => Some(HyperStream::new_tls(stream)),
+        Ok(Err(error)) => {
+            log::debug!("a caller did not complete the TLS handshake: {error}");
+            None
+        }
+        Err(_) => None,
+    }
 }
--- a/crates/daemon/src/inner.rs
+++ b/crates/daemon/src/inner.rs
@@ -2,19 +2,21 @@
 
 use std::{
     cell::RefCell,
-    rc::Rc,
-    time::Duration, //
+    rc::Rc, //
 };
 
 use codes::Code;
 use compio::net::TcpListener;
 use tarpc::context::Context;
 use wire::{
+    AuditLine,
+    AuditQuery,
     Edit,
     Follow,
+    Followed,
     Inner,
     Outcome,
-    Update, //
+    PastVersion, //
 };
 
 use crate::{
@@ -23,12 +25,10 @@
         Node,
         epoch_millis, //
     },
-    replica::Replica, //
+    replica::Replica,
+    serving, //
 };
 
-/// Time for which a follower waits before it is told that nothing is new.
-const FOLLOW_WAIT: Duration = Duration::from_secs(2);
-
 /// Answers other instances' calls.
 #[derive(Clone, Debug)]
 pub struct Service {
@@ -66,6 +66,11 @@
 }
 
 impl Inner for Service {
+    async fn audit(self, _: Context, query: AuditQuery) -> Option<Vec<AuditLine>> {
+        let lines = serving::audit(&self.node, &query);
+        lines.filter(|_| serving::confirmed(&self.node))
+    }
+
     async fn edit(self, _: Context, request: Edit) -> Outcome {
         match &self.node.replica {
             Some(replica) => edit(&self.node, replica, request),
@@ -77,14 +82,12 @@
         }
     }
 
-    async fn follow(self, _: Context, follow: Follow) -> Option<Update> {
-        let replica = self.node.replica.as_ref()?;
-        let listener = self.node.changed.listen();
-        let update = replica.borrow().update(follow.revision);
-        if update.is_some() {
-            return update;
-        }
-        let _notified = compio::time::timeout(FOLLOW_WAIT, listener).await;
-        replica.borrow().update(follow.revision)
+    async fn follow(self, _: Context, follow: Follow) -> Option<Followed> {
+        serving::follow(&self.node, follow).await
+    }
+
+    async fn history(self, _: Context, section: Box<str>) -> Option<Vec<PastVersion>> {
+        let versions = serving::history(&self.node, &section);
+        versions.filter(|_| serving::confirmed(&self.node))
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 //! sockets, the disk and the clock.
 
 mod admin;
+mod auth;
 mod configuration;
 mod connections;
 mod convert;
@@ -19,12 +20,17 @@
 mod logs;
 mod metrics;
 mod node;
+mod operators;
 mod options;
+mod published;
 mod refusal;
 mod replica;
 mod requests;
 mod run;
+mod serving;
+mod spread;
 mod stop;
+mod stores;
 mod tracked;
 
 pub use crate::run::run;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -64,10 +64,12 @@
 
     /// Counts a refusal.
     pub fn refuse(&self, code: Code) {
-        let label = CodeLabel {
-            code: code.number(),
-        };
-        self.refusals.get_or_create(&label).inc();
+        self.refuse_number(code.number());
+    }
+
+    /// Counts a refusal by the number of its code.
+    pub fn refuse_number(&self, code: u16) {
+        self.refusals.get_or_create(&CodeLabel { code }).inc();
     }
 
     /// All metrics as text.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -25,11 +25,13 @@
 use wire::Addresses;
 
 use crate::{
+    auth::Auth,
     configuration::Configuration,
     connections::Connections,
     error::Error,
     metrics::Metrics,
     replica::Replica,
+    spread::Spread,
     stop::Stop, //
 };
 
@@ -38,6 +40,8 @@
 pub struct Node {
     /// Where the instance is reached.
     pub addresses: Addresses,
+    /// Who may call the operators' interface.
+    pub auth: Auth,
     /// Notified when the replica has changed.
     pub changed: Event,
     /// The document in force.
@@ -60,6 +64,8 @@
     pub settings: Settings,
     /// The socket for datagrams to other instances; set once at the start.
     pub socket: OnceCell<Rc<UdpSocket>>,
+    /// The document's way to this instance.
+    pub spread: Spread,
     /// The planned stop.
     pub stop: Stop,
     start: Instant,
@@ -79,6 +85,7 @@
         let incarnation = epoch_millis();
         Ok(Self {
             addresses,
+            auth: Auth::open(&settings)?,
             changed: Event::new(),
             configuration: RefCell::new(Configuration::new()),
             connections: Connections::new(),
@@ -90,6 +97,7 @@
             replica,
             settings,
             socket: OnceCell::new(),
+            spread: Spread::default(),
             start: Instant::now(),
             stop: Stop::default(),
         })
@@ -111,11 +119,13 @@
         }
     }
 
-    /// Whether the instance can serve: it has a document in force and is not stopping.
+    /// Whether the instance can serve: it has a document in force that a quorum of the stores
+    /// confirmed after its start, and is not stopping.
     pub fn ready(&self) -> bool {
         let stored = self.replica.is_some();
         let revision = self.configuration.borrow().revision();
-        (stored || revision > 0) && !self.stop.begun()
+        let confirmed = self.spread.follower.borrow().confirmed();
+        (stored || (confirmed && revision > 0)) && !self.stop.begun()
     }
 }
 
--- /dev/null
+++ b/crates/daemon/src/published.rs
@@ -0,0 +1,60 @@
+//! What a store hands to followers.
+
+use std::collections::BTreeMap;
+
+use distribution::{
+    Changes,
+    Section, //
+};
+use wire::{
+    Delta,
+    SectionText,
+    Update, //
+};
+
+/// The latest document of this store's replica, and when its sections changed.
+#[derive(Clone, Debug, Default)]
+pub struct Published {
+    changes: Changes,
+    revision: u64,
+    sections: BTreeMap<Box<str>, SectionText>,
+}
+
+impl Published {
+    /// Takes a later document of the replica.
+    pub fn record(&mut self, update: Update) {
+        let sections = update.sections.iter().map(|section| Section {
+            name: section.name.clone(),
+            version: section.version,
+        });
+        self.changes.record(update.revision, sections);
+        self.revision = update.revision;
+        self.sections = update
+            .sections
+            .into_iter()
+            .map(|section| (section.name.clone(), section))
+            .collect();
+    }
+
+    /// Revision of the document.
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// What a follower lacks that has `revision`; none if nothing.
+    pub fn since(&self, revision: u64) -> Option<Delta> {
+        if revision >= self.revision {
+            return None;
+        }
+        let delta = self.changes.since(revision);
+        let changed = delta.changed.iter();
+        Some(Delta {
+            changed: changed
+                .filter_map(|name| self.sections.get(name).cloned())
+                .collect(),
+            complete: delta.complete,
+            removed: delta.removed,
+            revision: self.revision,
+        })
+    }
+}
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -53,13 +53,11 @@
     }
 
     /// Whether the store was in contact with a quorum within the last election timeout.
-    #[expect(dead_code, reason = "distribution asks for it")]
     pub const fn confirmed(&self) -> bool {
         true
     }
 
     /// The state that the committed edits made: audit trail, history and sections.
-    #[expect(dead_code, reason = "the operators' pages ask for it")]
     pub const fn ledger(&self) -> &Ledger {
         &self.ledger
     }
--- /dev/null
+++ b/crates/daemon/src/spread.rs
@@ -0,0 +1,44 @@
+//! The document's way from the stores to this instance and on.
+
+use std::{
+    cell::RefCell,
+    net::SocketAddr, //
+};
+
+use distribution::Follower;
+use event_listener::Event;
+use wire::{
+    Follow,
+    Followed, //
+};
+
+use crate::{
+    published::Published,
+    replica::Replica, //
+};
+
+/// The document's way from the stores to this instance and on.
+#[derive(Debug, Default)]
+pub struct Spread {
+    /// Which stores the instance follows; unused by a store.
+    pub follower: RefCell<Follower<SocketAddr>>,
+    /// Notified when a new document is in force.
+    pub updated: Event,
+    published: RefCell<Published>,
+}
+
+impl Spread {
+    /// Answers a follower from this store's replica.
+    pub fn answer(&self, replica: &RefCell<Replica>, follow: Follow) -> Followed {
+        let replica = replica.borrow();
+        let mut published = self.published.borrow_mut();
+        if let Some(update) = replica.update(published.revision()) {
+            published.record(update);
+        }
+        Followed {
+            confirmed: replica.confirmed(),
+            delta: published.since(follow.revision).filter(|_| !follow.brief),
+            revision: published.revision(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/stores.rs
@@ -0,0 +1,151 @@
+//! Calls of the stores by instances that are none.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration, //
+};
+
+use codes::Code;
+use distribution::{
+    Candidate,
+    rank, //
+};
+use tarpc::context;
+use wire::{
+    AuditLine,
+    AuditQuery,
+    Edit,
+    InnerClient,
+    Outcome,
+    PastVersion, //
+};
+
+use crate::{
+    node::Node,
+    serving, //
+};
+
+/// Time after which a store that does not answer is given up.
+const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Time after which a connection that is not made is given up.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time after which no further store is tried.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The stores' inner addresses in the order in which this instance prefers them.
+pub fn ranked(node: &Node) -> Vec<SocketAddr> {
+    let own = &node.settings.instance;
+    let members = node.members.borrow();
+    let mut stores: Vec<_> = members
+        .iter()
+        .filter(|member| member.store)
+        .map(|member| Candidate {
+            distance: u32::from(member.centre != own.centre),
+            key: member.inner,
+            name: member.name.clone(),
+        })
+        .collect();
+    if stores.is_empty() {
+        stores.extend(node.settings.seeds.iter().map(|seed| Candidate {
+            distance: 1,
+            key: *seed,
+            name: seed.to_string().into(),
+        }));
+    }
+    rank(&own.name, stores)
+}
+
+/// Connects to a store; none if no connection is made in time.
+pub async fn connect(address: SocketAddr) -> Option<InnerClient> {
+    match compio::time::timeout(CONNECT_TIMEOUT, wire::connect(address)).await {
+        Ok(Ok(client)) => Some(client),
+        Ok(Err(error)) => {
+            log::debug!(code = error.code().number(); "{error}");
+            None
+        }
+        Err(_) => None,
+    }
+}
+
+/// Hands an edit to the stores, one after another, until one answers with what became of it.
+///
+/// The edit's id lets a store that gets it a second time give the first answer.
+pub async fn edit(node: &Rc<Node>, edit: Edit) -> Outcome {
+    let start = node.now();
+    let mut last = refused(Code::NoLeader, "no store can be reached".into());
+    for address in ranked(node) {
+        if node.now() - start > TIMEOUT {
+            break;
+        }
+        let Some(client) = connect(address).await else {
+            continue;
+        };
+        let call = client.edit(context::current(), edit.clone());
+        let outcome = match compio::time::timeout(CALL_TIMEOUT, call).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(_)) | Err(_) => refused(
+                Code::EditUnknown,
+                format!("the store at {address} did not answer").into(),
+            ),
+        };
+        match code(&outcome) {
+            Some(Code::EditUnknown) => last = outcome,
+            Some(Code::NoLeader) if code(&last) != Some(Code::EditUnknown) => last = outcome,
+            Some(Code::NoLeader) => {}
+            Some(_) | None => return outcome,
+        }
+    }
+    last
+}
+
+/// Reads the audit trail, from this instance or from a store that a quorum confirms.
+pub async fn audit(node: &Node, query: AuditQuery) -> Option<Vec<AuditLine>> {
+    if node.replica.is_some() {
+        return serving::audit(node, &query);
+    }
+    for address in ranked(node) {
+        let Some(client) = connect(address).await else {
+            continue;
+        };
+        let call = client.audit(context::current(), query.clone());
+        if let Ok(Ok(Some(lines))) = compio::time::timeout(CALL_TIMEOUT, call).await {
+            return Some(lines);
+        }
+    }
+    None
+}
+
+/// Reads a section's versions, from this instance or from a store that a quorum confirms.
+pub async fn history(node: &Node, section: Box<str>) -> Option<Vec<PastVersion>> {
+    if node.replica.is_some() {
+        return serving::history(node, &section);
+    }
+    for address in ranked(node) {
+        let Some(client) = connect(address).await else {
+            continue;
+        };
+        let call = client.history(context::current(), section.clone());
+        if let Ok(Ok(Some(versions))) = compio::time::timeout(CALL_TIMEOUT, call).await {
+            return Some(versions);
+        }
+    }
+    None
+}
+
+const fn code(outcome: &Outcome) -> Option<Code> {
+    match outcome {
+        Outcome::Accepted { .. } => None,
+        Outcome::Refused { code, .. } => Some(*code),
+    }
+}
+
+fn refused(code: Code, advice: Box<str>) -> Outcome {
+    Outcome::Refused {
+        advice,
+        code,
+        version: 0,
+    }
+}
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -6,6 +6,18 @@
     Serialize, //
 };
 
+use crate::{
+    follow::{
+        Follow,
+        Followed, //
+    },
+    trail::{
+        AuditLine,
+        AuditQuery,
+        PastVersion, //
+    },
+};
+
 /// An operator's edit of one section.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -18,6 +30,9 @@
     pub id: Box<str>,
     /// Name of the section.
     pub section: Box<str>,
+    /// The team whose key was used; none if every section may be edited.
+    #[serde(default)]
+    pub team: Option<Box<str>>,
     /// Text of the section after the edit; empty to remove the section.
     pub text: Box<str>,
 }
@@ -55,14 +70,7 @@
     pub version: u64,
 }
 
-/// What a follower asks for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
-pub struct Follow {
-    /// Revision that the follower has.
-    pub revision: u64,
-}
-
-/// A newer document for a follower.
+/// A whole document.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Update {
     /// Revision of the document.
@@ -74,9 +82,17 @@
 /// Calls that an instance answers to other instances.
 #[tarpc::service]
 pub trait Inner {
+    /// Reads the audit trail; none if this instance is no store or no quorum confirms it.
+    async fn audit(query: AuditQuery) -> Option<Vec<AuditLine>>;
+
     /// Accepts or refuses an edit; stores only.
     async fn edit(edit: Edit) -> Outcome;
 
-    /// Waits for a document newer than the follower's; none if there is none for a while.
-    async fn follow(follow: Follow) -> Option<Update>;
+    /// Waits for a document newer than the follower's, for a while; none if this instance is no
+    /// store.
+    async fn follow(follow: Follow) -> Option<Followed>;
+
+    /// Reads the last versions of a section, oldest first; none if this instance is no store or
+    /// no quorum confirms it.
+    async fn history(section: Box<str>) -> Option<Vec<PastVersion>>;
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,13 +9,14 @@
 mod datagram;
 mod endpoint;
 mod error;
+mod follow;
 mod instance;
 mod server;
+mod trail;
 
 pub use crate::{
     call::{
         Edit,
-        Follow,
         Inner,
         InnerClient,
         InnerRequest,
@@ -36,9 +37,22 @@
         State, //
     },
     error::Error,
+    follow::{
+        Delta,
+        Follow,
+        Followed, //
+    },
     instance::{
         Addresses,
         Instance, //
     },
-    server::serve, //
+    server::{
+        IDLE_TIMEOUT,
+        serve, //
+    },
+    trail::{
+        AuditLine,
+        AuditQuery,
+        PastVersion, //
+    },
 };
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -1,8 +1,14 @@
 //! The answering side of connections between instances.
 
+use std::{
+    pin::pin,
+    time::Duration, //
+};
+
 use compio::{
     io::compat::AsyncStream,
-    net::TcpStream, //
+    net::TcpStream,
+    time::timeout, //
 };
 use futures::StreamExt;
 use tarpc::{
@@ -25,15 +31,18 @@
     codec::Postcard, //
 };
 
-/// Answers the calls of one connection until it closes.
+/// Time after which a connection without a call is closed.
+///
+/// Followers ask every few seconds, so that only a peer that is gone or silent lets it pass.
+pub const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Answers the calls of one connection until it closes or goes silent.
 pub async fn serve<S: Inner + Clone + 'static>(stream: TcpStream, service: S) {
     let io = AsyncStream::new(stream).compat();
     let framed = Framed::new(io, LengthDelimitedCodec::new());
     let transport = serde_transport::new(framed, Postcard::default());
-    let requests = BaseChannel::with_defaults(transport).execute(service.serve());
-    requests
-        .for_each(|request| async {
-            compio::runtime::spawn(request).detach();
-        })
-        .await;
+    let mut requests = pin!(BaseChannel::with_defaults(transport).execute(service.serve()));
+    while let Ok(Some(request)) = timeout(IDLE_TIMEOUT, requests.next()).await {
+        compio::runtime::spawn(request).detach();
+    }
 }
