Command line: audit, diff, history, init, key, members, remove, rollback, watch; versions, conflicts, lost answers, TLS

Cause: `apply` wrote sections anew without their comments, a conflict told only numbers, a lost answer ended the command with advice, and most of what operators do had no subcommand.

Change: `apply` keeps each section's own text; `get` writes a line with the version that `apply` takes as the base, and a whole document that can be applied again. The loser of a race is shown what changed since its base. A lost answer is asked for again under the same id, and if that is lost too the command ends with exit code 5 and the id. `--instance` may be given several times. `--key-file` and `--ca` name the operator's key and the authorities that instances are trusted by.

Ruled out: finding a section in a document by its lines, since values may span lines and hold brackets; `toml_edit` keeps comments and order. Certificates made by the tests, since a generator brings 20 packages; a test certificate is kept.

--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -1,118 +1,53 @@
 //! `mimosausher apply`: changes the document, or one section of it.
 
-use std::path::Path;
-
-use settings::{
-    Document,
-    Section,
-    Source, //
-};
 use wire::{
     Edit,
-    Outcome,
     SectionText, //
 };
 
 use crate::{
+    change::Change,
     client::Client,
+    edits,
     error::Error,
     exit::Exit,
     options::Apply, //
 };
 
-/// A section as it stands in the file.
-struct Change {
-    name: Box<str>,
-    text: Box<str>,
-}
-
-/// Sends one edit for each section that differs from the one in force.
+/// Sends one edit for each section of the file that differs from the one in force.
+///
+/// Sections that the file does not hold stay as they are.
 ///
 /// # Errors
 ///
 /// The file's refusal, or any failure of a call.
 pub async fn run(client: Client, options: &Apply, json: bool) -> Result<Exit, Error> {
-    let source = Source::read(Path::new(&options.file))?;
-    let texts = match &options.section {
-        Some(name) => {
-            Section::parse(&source)?;
-            vec![Change {
-                name: name.as_str().into(),
-                text: source.text().into(),
-            }]
-        }
-        None => sections(&source)?,
-    };
+    let changes = Change::read(&options.file, options.section.as_deref())?;
     let force: Vec<SectionText> = client.get("/v1/document").await?;
+    let id = edits::id(options.id.as_ref());
     let mut exit = Exit::Success;
-    for Change { name, text } in texts {
+    for Change { base, name, text } in changes {
         let known = force.iter().find(|section| section.name == name);
-        if known.is_some_and(|section| section.text == text) {
-            println!("section {name}: unchanged");
+        let same = known.is_some_and(|section| section.text == text);
+        if same && options.id.is_none() {
+            if !json {
+                println!("section {name}: unchanged");
+            }
             continue;
         }
         let version = known.map_or(0, |section| section.version);
         let edit = Edit {
             author: options.author.as_str().into(),
-            base: options.base.unwrap_or(version),
-            id: id(options, &name),
+            base: options.base.or(base).unwrap_or(version),
+            id: format!("{id}/{name}").into(),
             section: name,
+            team: None,
             text,
         };
-        let outcome = client.post("/v1/edits", &edit).await?;
-        if matches!(outcome, Outcome::Refused { .. }) {
-            exit = Exit::Refused;
+        match edits::send(&client, &edit, &id, json).await? {
+            Exit::Success => {}
+            other => exit = other,
         }
-        report(&edit, &outcome, json);
     }
     Ok(exit)
 }
-
-/// The sections of a whole document, each as its own text.
-fn sections(source: &Source) -> Result<Vec<Change>, Error> {
-    let document = Document::parse(source)?;
-    let table: toml::Table = source.parse()?;
-    let texts = table.get("section").and_then(toml::Value::as_table);
-    Ok(document
-        .sections
-        .into_keys()
-        .filter_map(|name| {
-            let text = toml::to_string(texts?.get(&*name)?).ok()?;
-            Some(Change {
-                name,
-                text: text.into(),
-            })
-        })
-        .collect())
-}
-
-fn id(options: &Apply, section: &str) -> Box<str> {
-    match &options.id {
-        Some(id) => format!("{id}/{section}").into(),
-        None => format!("{:016x}", rand::random::<u64>()).into(),
-    }
-}
-
-fn report(edit: &Edit, outcome: &Outcome, json: bool) {
-    if json {
-        println!(
-            "{}",
-            serde_json::json!({"edit": edit.id, "outcome": outcome})
-        );
-        return;
-    }
-    match outcome {
-        Outcome::Accepted { revision, version } => println!(
-            "section {}: accepted as version {version}, revision {revision}",
-            edit.section
-        ),
-        Outcome::Refused {
-            advice,
-            code,
-            version,
-        } => println!(
-            "section {}: refused, {code} {advice} (in force: version {version})",
-            edit.section
-        ),
-    }
-}
--- /dev/null
+++ b/crates/cli/src/audit.rs
@@ -0,0 +1,52 @@
+//! `mimosausher audit`: reads back who changed what.
+
+use wire::{
+    AuditLine,
+    Outcome, //
+};
+
+use crate::{
+    client::Client,
+    clock,
+    error::Error,
+    options::Audit,
+    table, //
+};
+
+/// Prints the last lines of the audit trail, oldest first.
+///
+/// # Errors
+///
+/// Any failure of the call.
+pub async fn run(client: Client, options: &Audit, json: bool) -> Result<(), Error> {
+    let mut path = format!("/v1/audit?count={}", options.count);
+    if let Some(section) = &options.section {
+        path += &format!("&section={section}");
+    }
+    let lines: Vec<AuditLine> = client.get(&path).await?;
+    if json {
+        println!("{}", serde_json::json!(lines));
+        return Ok(());
+    }
+    let rows: Vec<_> = lines.iter().map(row).collect();
+    let heading = ["TIME", "AUTHOR", "SECTION", "BASE", "RESULT", "ID"];
+    table::print(heading, &rows);
+    Ok(())
+}
+
+fn row(line: &AuditLine) -> [String; 6] {
+    let result = match &line.outcome {
+        Outcome::Accepted { revision, version } => {
+            format!("version {version}, revision {revision}")
+        }
+        Outcome::Refused { code, .. } => format!("refused, {} {}", code.number(), code.name()),
+    };
+    [
+        clock::text(line.time),
+        line.author.to_string(),
+        line.section.to_string(),
+        line.base.to_string(),
+        result,
+        line.id.to_string(),
+    ]
+}
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -7,12 +7,14 @@
 pub enum Exit {
     /// An instance could not be reached or did not answer: 1.
     Failure,
-    /// A refused file: 3.
+    /// A refused file, or a section or version that does not exist: 3.
     File,
-    /// A refused edit: 4.
+    /// A refused edit or call: 4.
     Refused,
     /// The command did its work: 0.
     Success,
+    /// An edit whose outcome is not known: 5.
+    Unknown,
     /// A command line that is not understood: 2.
     Usage,
 }
@@ -25,6 +27,7 @@
             Exit::Usage => 2,
             Exit::File => 3,
             Exit::Refused => 4,
+            Exit::Unknown => 5,
         })
     }
 }
--- a/crates/cli/src/get.rs
+++ b/crates/cli/src/get.rs
@@ -3,12 +3,16 @@
 use wire::SectionText;
 
 use crate::{
+    change::{
+        embed,
+        heading, //
+    },
     client::Client,
     error::Error,
     options::Get, //
 };
 
-/// Prints all sections with their versions, or the text of one.
+/// Prints the document, or the text of one section, with the versions that `apply` reads back.
 ///
 /// # Errors
 ///
@@ -25,9 +29,18 @@
         println!("{}", serde_json::json!(sections));
         return Ok(());
     }
-    for section in sections {
-        println!("# section {} version {}", section.name, section.version);
-        println!("{}", section.text.trim_end());
+    let mut gap = "";
+    for SectionText {
+        name,
+        text,
+        version,
+    } in sections
+    {
+        match options.section {
+            Some(_) => print!("{}{text}", heading(&name, version)),
+            None => print!("{gap}{}", embed(&name, version, &text)?),
+        }
+        gap = "\n";
     }
     Ok(())
 }
--- /dev/null
+++ b/crates/cli/src/key.rs
@@ -0,0 +1,74 @@
+//! `mimosausher key`: makes an operator's key.
+
+use std::{
+    fs::OpenOptions,
+    io::Write,
+    os::unix::fs::OpenOptionsExt, //
+};
+
+use ring::digest::{
+    SHA256,
+    digest, //
+};
+
+use crate::{
+    error::Error,
+    options::Key, //
+};
+
+/// Length of a key in bytes, before it is written as hexadecimal digits.
+const KEY_BYTES: usize = 32;
+
+/// Who may read and write the file of a key: its owner.
+const MODE: u32 = 0o600;
+
+/// Writes a new key to a file, and prints its row of the instances' file of keys.
+///
+/// # Errors
+///
+/// [`Error::Key`] if the file exists or cannot be written.
+pub fn run(options: &Key) -> Result<(), Error> {
+    let holder = match (&options.admin, &options.team) {
+        (Some(_), Some(_)) => return Err(Error::Together("--admin", "--team")),
+        (Some(name), None) => format!("admin = {name:?}"),
+        (None, Some(team)) => format!("team = {team:?}"),
+        (None, None) => return Err(Error::Missing("--team")),
+    };
+    let key = hexadecimal(&rand::random::<[u8; KEY_BYTES]>());
+    let refuse = |cause| Error::Key {
+        cause,
+        path: options.file.as_str().into(),
+    };
+    let mut file = OpenOptions::new()
+        .create_new(true)
+        .mode(MODE)
+        .write(true)
+        .open(&options.file)
+        .map_err(refuse)?;
+    writeln!(file, "{key}").map_err(refuse)?;
+    let hash = digest(&SHA256, key.as_bytes());
+    println!(
+        "[[key]]\n{holder}\nsha256 = \"{}\"",
+        hexadecimal(hash.as_ref())
+    );
+    Ok(())
+}
+
+/// Reads a key from its file.
+///
+/// # Errors
+///
+/// [`Error::Key`] if the file cannot be read.
+pub fn read(path: &str) -> Result<Box<str>, Error> {
+    match std::fs::read_to_string(path) {
+        Ok(text) => Ok(text.trim().into()),
+        Err(cause) => Err(Error::Key {
+            cause,
+            path: path.into(),
+        }),
+    }
+}
+
+fn hexadecimal(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -7,18 +7,30 @@
 /// What the command line holds.
 #[derive(Debug, Gumdrop)]
 pub struct Options {
+    /// File of the authorities' certificates.
+    #[options(
+        help = "certificates (PEM) that the instances are trusted by",
+        meta = "FILE"
+    )]
+    pub ca: Option<String>,
     /// The subcommand.
     #[options(command)]
     pub command: Option<Subcommand>,
     /// Whether to print the usage.
     #[options(help = "print this help")]
     pub help: bool,
-    /// Admin address of an instance.
-    #[options(help = "admin address of any instance", meta = "ADDRESS")]
-    pub instance: Option<SocketAddr>,
+    /// Admin addresses of instances.
+    #[options(
+        help = "admin address of any instance; given again, the next one to try",
+        meta = "ADDRESS"
+    )]
+    pub instance: Vec<SocketAddr>,
     /// Whether to print JSON.
     #[options(help = "print JSON in place of tables")]
     pub json: bool,
+    /// File of the operator's key.
+    #[options(help = "file of the operator's key", meta = "FILE")]
+    pub key_file: Option<String>,
     /// Whether to print the version.
     #[options(help = "print the version", short = "V")]
     pub version: bool,
@@ -30,28 +42,60 @@
     /// Changes the document.
     #[options(help = "change the document, or one section of it")]
     Apply(Apply),
+    /// Reads the audit trail.
+    #[options(help = "read back who changed what")]
+    Audit(Audit),
     /// Checks a file.
     #[options(help = "check a settings file or a document, and start nothing")]
     Check(Check),
+    /// Shows what a file would change.
+    #[options(help = "show what a file would change")]
+    Diff(Diff),
     /// Lists the endpoints.
     #[options(help = "list the endpoints that an instance knows")]
     Endpoints(Endpoints),
     /// Prints the document.
     #[options(help = "print the document in force, or one section of it")]
     Get(Get),
+    /// Lists a section's versions.
+    #[options(help = "list a section's versions, or print one")]
+    History(History),
+    /// Starts the stores.
+    #[options(help = "start the stores for the first time")]
+    Init(Init),
+    /// Makes a key.
+    #[options(help = "make an operator's key")]
+    Key(Key),
+    /// Lists the stores.
+    #[options(help = "list the stores, add one, or remove one")]
+    Members(Members),
+    /// Removes a section.
+    #[options(help = "remove a section")]
+    Remove(Remove),
+    /// Applies an older version.
+    #[options(help = "edit a section back to the text of an older version")]
+    Rollback(Rollback),
     /// Describes an instance.
     #[options(help = "describe an instance and those that it knows")]
     Status(Status),
+    /// Prints new revisions.
+    #[options(help = "print each new revision that comes into force at an instance")]
+    Watch(Watch),
 }
 
 /// Options of `apply`.
 #[derive(Debug, Gumdrop)]
 pub struct Apply {
     /// Who edits.
-    #[options(help = "who edits, for the audit trail", default = "operator")]
+    #[options(
+        help = "who edits, for the audit trail; a key's holder goes before it",
+        default = "operator"
+    )]
     pub author: String,
     /// Version of the section that the edit was made from.
-    #[options(help = "version that the section was edited from; default: the one in force")]
+    #[options(
+        help = "version that the section was edited from; default: the one that the file names, or the one in force"
+    )]
     pub base: Option<u64>,
     /// The file.
     #[options(
@@ -71,6 +115,20 @@
     pub section: Option<String>,
 }
 
+/// Options of `audit`.
+#[derive(Debug, Gumdrop)]
+pub struct Audit {
+    /// How many lines.
+    #[options(help = "how many lines, the latest ones", default = "100")]
+    pub count: u32,
+    /// Whether to print the usage.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Name of the section.
+    #[options(free, help = "name of one section")]
+    pub section: Option<String>,
+}
+
 /// Options of `check`.
 #[derive(Debug, Gumdrop)]
 pub struct Check {
@@ -82,6 +140,24 @@
     pub help: bool,
 }
 
+/// Options of `diff`.
+#[derive(Debug, Gumdrop)]
+pub struct Diff {
+    /// The file.
+    #[options(
+        free,
+        required,
+        help = "document, or with --section the text of one section"
+    )]
+    pub file: String,
+    /// Whether to print the usage.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Name of the section.
+    #[options(help = "name of the one section to compare")]
+    pub section: Option<String>,
+}
+
 /// Options of `endpoints`.
 #[derive(Debug, Gumdrop)]
 pub struct Endpoints {
@@ -101,6 +177,115 @@
     pub section: Option<String>,
 }
 
+/// Options of `history`.
+#[derive(Debug, Gumdrop)]
+pub struct History {
+    /// Whether to print the usage.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Name of the section.
+    #[options(free, required, help = "name of the section")]
+    pub section: String,
+    /// Number of a version.
+    #[options(free, help = "number of the version to print")]
+    pub version: Option<u64>,
+}
+
+/// Options of `init`.
+#[derive(Debug, Gumdrop)]
+pub struct Init {
+    /// Whether to print the usage.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// The stores.
+    #[options(
+        free,
+        required,
+        help = "the stores, each as NAME=ADDRESS with its inner address"
+    )]
+    pub stores: Vec<String>,
+}
+
+/// Options of `key`.
+#[derive(Debug, Gumdrop)]
+pub struct Key {
+    /// Name of an admin.
+    #[options(help = "name of the admin who gets the key")]
+    pub admin: Option<String>,
+    /// The file.
+    #[options(free, required, help = "file to write the key to")]
+    pub file: String,
+    /// Whether to print the usage.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Name of a team.
+    #[options(help = "name of the team that gets the key")]
+    pub team: Option<String>,
+}
+
+/// Options of `members`.
+#[derive(Debug, Gumdrop)]
+pub struct Members {
+    /// A store to add.
+    #[options(
+        help = "add a store, as NAME=ADDRESS with its inner address",
+        meta = "STORE"
+    )]
+    pub add: Option<String>,
+    /// Whether to print the usage.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// A store to remove.
+    #[options(help = "remove the store of that name", meta = "NAME")]
+    pub remove: Option<String>,
+}
+
+/// Options of `remove`.
+#[derive(Debug, Gumdrop)]
+pub struct Remove {
+    /// Who edits.
+    #[options(
+        help = "who edits, for the audit trail; a key's holder goes before it",
+        default = "operator"
+    )]
+    pub author: String,
+    /// Version of the section that is removed.
+    #[options(help = "version that is removed; default: the one in force")]
+    pub base: Option<u64>,
+    /// Whether to print the usage.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Identifies the edit.
+    #[options(help = "id of the edit, to resend one whose answer was lost")]
+    pub id: Option<String>,
+    /// Name of the section.
+    #[options(free, required, help = "name of the section")]
+    pub section: String,
+}
+
+/// Options of `rollback`.
+#[derive(Debug, Gumdrop)]
+pub struct Rollback {
+    /// Who edits.
+    #[options(
+        help = "who edits, for the audit trail; a key's holder goes before it",
+        default = "operator"
+    )]
+    pub author: String,
+    /// Whether to print the usage.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Identifies the edit.
+    #[options(help = "id of the edit, to resend one whose answer was lost")]
+    pub id: Option<String>,
+    /// Name of the section.
+    #[options(free, required, help = "name of the section")]
+    pub section: String,
+    /// Number of the older version.
+    #[options(free, required, help = "number of the older version")]
+    pub version: u64,
+}
+
 /// Options of `status`.
 #[derive(Debug, Gumdrop)]
 pub struct Status {
@@ -108,3 +293,14 @@
     #[options(help = "print this help")]
     pub help: bool,
 }
+
+/// Options of `watch`.
+#[derive(Debug, Gumdrop)]
+pub struct Watch {
+    /// How many revisions.
+    #[options(help = "end after that many revisions")]
+    pub count: Option<u64>,
+    /// Whether to print the usage.
+    #[options(help = "print this help")]
+    pub help: bool,
+}
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::{
     ffi::OsString,
+    path::Path,
     process::ExitCode, //
 };
 
@@ -14,17 +15,27 @@
 
 use crate::{
     apply,
+    audit,
     check,
     client::Client,
+    diff,
     endpoints,
     error::Error,
     exit::Exit,
     get,
+    history,
+    init,
+    key,
+    members,
     options::{
         Options,
         Subcommand, //
     },
-    status, //
+    remove,
+    rollback,
+    status,
+    tls,
+    watch, //
 };
 
 /// Runs the command line.
@@ -69,20 +80,34 @@
                 return Ok(Exit::Usage);
             }
             Some(Subcommand::Apply(own)) => return apply::run(client(options)?, own, json).await,
+            Some(Subcommand::Audit(own)) => audit::run(client(options)?, own, json).await?,
             Some(Subcommand::Check(own)) => check::run(own)?,
+            Some(Subcommand::Diff(own)) => diff::run(client(options)?, own, json).await?,
             Some(Subcommand::Endpoints(_)) => endpoints::run(client(options)?, json).await?,
             Some(Subcommand::Get(own)) => get::run(client(options)?, own, json).await?,
+            Some(Subcommand::History(own)) => history::run(client(options)?, own, json).await?,
+            Some(Subcommand::Init(own)) => init::run(client(options)?, own, json).await?,
+            Some(Subcommand::Key(own)) => key::run(own)?,
+            Some(Subcommand::Members(own)) => members::run(client(options)?, own, json).await?,
+            Some(Subcommand::Remove(own)) => return remove::run(client(options)?, own, json).await,
+            Some(Subcommand::Rollback(own)) => {
+                return rollback::run(client(options)?, own, json).await;
+            }
             Some(Subcommand::Status(_)) => status::run(client(options)?, json).await?,
+            Some(Subcommand::Watch(own)) => watch::run(client(options)?, own, json).await?,
         }
         Ok(Exit::Success)
     })
 }
 
 fn client(options: &Options) -> Result<Client, Error> {
-    options
-        .instance
-        .map(Client::new)
-        .ok_or(Error::Missing("--instance"))
+    if options.instance.is_empty() {
+        return Err(Error::Missing("--instance"));
+    }
+    let key = options.key_file.as_deref().map(key::read).transpose()?;
+    let ca = options.ca.as_deref().map(Path::new);
+    let tls = ca.map(tls::connector).transpose()?;
+    Ok(Client::new(&options.instance).with_key(key).with_tls(tls))
 }
 
 fn help(options: &Options) {
--- /dev/null
+++ b/crates/cli/src/tls.rs
@@ -0,0 +1,45 @@
+//! TLS towards the instances.
+
+use std::{
+    path::Path,
+    sync::Arc, //
+};
+
+use compio::tls::TlsConnector;
+use rustls::{
+    ClientConfig, RootCertStore,
+    crypto::ring::default_provider,
+    pki_types::{
+        CertificateDer,
+        pem::PemObject, //
+    },
+};
+
+use crate::error::Error;
+
+/// Reads the certificates of the authorities that the instances' certificates are signed by.
+///
+/// # Errors
+///
+/// [`Error::Certificate`] if the file cannot be used.
+pub fn connector(path: &Path) -> Result<TlsConnector, Error> {
+    let refuse = |cause: &dyn ToString| Error::Certificate {
+        cause: cause.to_string().into(),
+        path: path.into(),
+    };
+    let text = std::fs::read(path).map_err(|cause| refuse(&cause))?;
+    let mut roots = RootCertStore::empty();
+    for certificate in CertificateDer::pem_slice_iter(&text) {
+        let certificate = certificate.map_err(|cause| refuse(&cause))?;
+        roots.add(certificate).map_err(|cause| refuse(&cause))?;
+    }
+    if roots.is_empty() {
+        return Err(refuse(&"it holds no certificate"));
+    }
+    let config = ClientConfig::builder_with_provider(Arc::new(default_provider()))
+        .with_safe_default_protocol_versions()
+        .map_err(|cause| refuse(&cause))?
+        .with_root_certificates(roots)
+        .with_no_client_auth();
+    Ok(Arc::new(config).into())
+}
--- /dev/null
+++ b/crates/cli/src/watch.rs
@@ -0,0 +1,68 @@
+//! `mimosausher watch`: prints each new revision that comes into force at an instance.
+
+use std::collections::BTreeMap;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use wire::SectionText;
+
+use crate::{
+    client::Client,
+    error::Error,
+    options::Watch, //
+};
+
+/// The document in force at an instance.
+#[derive(Debug, Deserialize, Serialize)]
+struct InForce {
+    revision: u64,
+    sections: Vec<SectionText>,
+}
+
+/// Prints the revision in force and each later one, with the sections that changed.
+///
+/// # Errors
+///
+/// Any failure of a call.
+pub async fn run(client: Client, options: &Watch, json: bool) -> Result<(), Error> {
+    let mut known = BTreeMap::<Box<str>, u64>::new();
+    let mut revision = 0;
+    let mut count = 0;
+    while options.count.is_none_or(|most| count < most) {
+        let path = format!("/v1/watch?revision={revision}");
+        let force: InForce = client.get(&path).await?;
+        if force.revision <= revision {
+            continue;
+        }
+        revision = force.revision;
+        count += 1;
+        let sections: BTreeMap<_, _> = force
+            .sections
+            .iter()
+            .map(|section| (section.name.clone(), section.version))
+            .collect();
+        if json {
+            println!("{}", serde_json::json!(force));
+        } else {
+            println!("revision {revision}: {}", changes(&known, &sections));
+        }
+        known = sections;
+    }
+    Ok(())
+}
+
+/// The sections that differ, in the order of their names.
+fn changes(before: &BTreeMap<Box<str>, u64>, after: &BTreeMap<Box<str>, u64>) -> String {
+    let changed = after
+        .iter()
+        .filter(|(name, version)| before.get(*name) != Some(version))
+        .map(|(name, version)| format!("{name} version {version}"));
+    let removed = before
+        .keys()
+        .filter(|name| !after.contains_key(*name))
+        .map(|name| format!("{name} removed"));
+    let parts: Vec<_> = changed.chain(removed).collect();
+    parts.join(", ")
+}
--- /dev/null
+++ b/crates/cli/tests/keys.rs
@@ -0,0 +1,151 @@
+//! Operators' keys, and TLS towards the instances.
+
+mod harness;
+
+use std::path::Path;
+
+use harness::{
+    SECTION,
+    Test,
+    cluster,
+    file, //
+};
+use standin::{
+    Cluster,
+    Daemon, //
+};
+
+/// Starts an entry whose settings hold more tables.
+fn entry(cluster: &Cluster, more: &str) -> Daemon {
+    let seed = cluster.stores[0].address("inner");
+    let text = format!(
+        "seeds = [\"{seed}\"]\n[instance]\nname = \"entry-keys\"\ncentre = \"porto-a\"\n\
+         roles = [\"entry\"]\n[listen]\nadmin = \"127.0.0.1:0\"\ninner = \"127.0.0.1:0\"\n\
+         fabric = \"127.0.0.1:0\"\nrequests = \"127.0.0.1:0\"\n{more}"
+    );
+    Daemon::start(cluster.folder(), "entry-keys", &text).unwrap()
+}
+
+/// Makes a key of a holder; returns its row of the file of keys.
+fn key(cluster: &Cluster, kind: &str, name: &str) -> String {
+    let path = cluster.folder().join(name);
+    Test::new().args(["key", kind, name]).path(&path).run()
+}
+
+#[test]
+fn key_other_team() {
+    let (cluster, _) = cluster();
+    let rows = key(&cluster, "--team", "booking") + &key(&cluster, "--team", "documents");
+    let rows = rows + &key(&cluster, "--admin", "ana");
+    let keys = file(&cluster, "keys.toml", &rows);
+    let entry = entry(&cluster, &format!("[operators]\nkeys = {keys:?}\n"));
+    let admin = entry.address("admin");
+    let section = file(&cluster, "section.toml", SECTION);
+    let apply = |holder: &str, id: &str| {
+        let test = Test::at(admin).arg("--key-file");
+        let test = test.path(&cluster.folder().join(holder));
+        let test = test.args([
+            "apply",
+            "--section",
+            "booking",
+            "--author",
+            "eve",
+            "--id",
+            id,
+        ]);
+        test.path(&section)
+    };
+    let refused = "section booking: refused, 5003 The key may not edit this section. section \
+                   `booking` belongs to team `booking`, the key to team `documents`\n";
+    apply("documents", "e1").status(4).stdout(refused).run();
+    apply("booking", "e2")
+        .stdout("section booking: accepted as version 1, revision 1\n")
+        .run();
+    apply("documents", "e3").status(4).stdout(refused).run();
+    apply("ana", "e4")
+        .arg("--base")
+        .arg(1)
+        .stdout("section booking: accepted as version 2, revision 2\n")
+        .run();
+    let audit = Test::at(admin)
+        .arg("--key-file")
+        .path(&cluster.folder().join("ana"));
+    let text = audit.arg("audit").run();
+    let authors: Vec<_> = text
+        .lines()
+        .skip(1)
+        .map(|line| line.split_whitespace().nth(1).unwrap())
+        .collect();
+    assert_eq!(authors, ["documents", "booking", "documents", "ana"]);
+}
+
+#[test]
+fn key_missing_or_unknown() {
+    let (cluster, _) = cluster();
+    let keys = file(&cluster, "keys.toml", &key(&cluster, "--team", "booking"));
+    key(&cluster, "--team", "unknown");
+    let entry = entry(&cluster, &format!("[operators]\nkeys = {keys:?}\n"));
+    let admin = entry.address("admin");
+    let refused = "refused: 5010 The key is missing or not known. the header `authorization` \
+                   has no known key";
+    for command in ["get", "audit", "status", "members"] {
+        Test::at(admin).arg(command).status(4).stderr(refused).run();
+        Test::at(admin)
+            .arg("--key-file")
+            .path(&cluster.folder().join("unknown"))
+            .arg(command)
+            .status(4)
+            .stderr(refused)
+            .run();
+    }
+    Test::at(admin)
+        .arg("--key-file")
+        .path(&cluster.folder().join("booking"))
+        .args(["init", "store-1=127.0.0.1:7103"])
+        .status(4)
+        .stderr(
+            "5003 The key may not edit this section. the key of team `booking` is not an admin's",
+        )
+        .run();
+    Test::at(admin)
+        .arg("--key-file")
+        .path(Path::new("/nonexistent"))
+        .arg("get")
+        .status(3)
+        .stderr("cannot use the key file /nonexistent")
+        .run();
+    let existing = cluster.folder().join("booking");
+    Test::new()
+        .args(["key", "--team", "booking"])
+        .path(&existing)
+        .status(3)
+        .stderr("cannot use the key file")
+        .run();
+}
+
+#[test]
+fn tls_untrusted_authority() {
+    let (cluster, _) = cluster();
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/tls");
+    let (certificate, key) = (folder.join("instance.pem"), folder.join("instance.key"));
+    let more = format!("[tls]\ncertificate = {certificate:?}\nkey = {key:?}\n");
+    let entry = entry(&cluster, &more);
+    let admin = entry.address("admin");
+    let section = file(&cluster, "section.toml", SECTION);
+    let apply = |ca: &Path| {
+        let test = Test::at(admin).arg("--ca").path(ca);
+        test.args(["apply", "--section", "booking"]).path(&section)
+    };
+    apply(&certificate)
+        .status(1)
+        .stderr("cannot be reached")
+        .run();
+    apply(&folder.join("authority.pem"))
+        .stdout("section booking: accepted as version 1, revision 1\n")
+        .run();
+    apply(&key)
+        .status(3)
+        .stderr("it holds no certificate")
+        .run();
+    Test::at(admin).arg("get").status(1).run();
+}
