--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -42,7 +42,8 @@
 const TIMEOUT: Duration = Duration::from_secs(6);
 
 /// The body of a refusal.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Refusal {
     advice: Box<str>,
     code: u16,
@@ -54,6 +55,7 @@
 pub struct Client {
     instances: Box<[SocketAddr]>,
     key: Option<Box<str>>,
+    patience: Duration,
     tls: Option<TlsConnector>,
 }
 
@@ -63,6 +65,7 @@
         Self {
             instances: instances.into(),
             key: None,
+            patience: TIMEOUT,
             tls: None,
         }
     }
@@ -73,6 +76,12 @@
         self
     }
 
+    /// Sets the time after which an instance that does not answer is given up.
+    pub const fn with_timeout(mut self, patience: Duration) -> Self {
+        self.patience = patience;
+        self
+    }
+
     /// Sets the TLS that the instances are called with; plain HTTP without it.
     pub fn with_tls(mut self, tls: Option<TlsConnector>) -> Self {
         self.tls = tls;
@@ -119,7 +128,7 @@
                 }
             };
             let request = self.request(*instance, method, path, body)?;
-            return timeout(TIMEOUT, exchange(*instance, sender, request))
+            return timeout(self.patience, exchange(*instance, sender, request))
                 .await
                 .unwrap_or(Err(Error::Timeout(*instance)));
         }
--- a/crates/cli/src/init.rs
+++ b/crates/cli/src/init.rs
@@ -1,24 +1,17 @@
 //! `mimosausher init`: the explicit first start of the stores.
 
-use serde::Serialize;
+use wire::{
+    Init as Start,
+    LogMembers, //
+};
 
 use crate::{
     client::Client,
     error::Error,
-    members::{
-        self,
-        Store,
-        Stores, //
-    },
-    options::Init,
+    members,
+    options::Init, //
 };
 
-/// The stores of the first start.
-#[derive(Debug, Serialize)]
-struct Start {
-    stores: Vec<Store>,
-}
-
 /// Starts the log with the stores on the command line, and lists them.
 ///
 /// # Errors
@@ -28,10 +21,11 @@
     let stores: Result<_, _> = options
         .stores
         .iter()
-        .map(|word| Store::parse(word))
+        .map(|word| members::parse(word))
         .collect();
     let start = Start { stores: stores? };
-    let stores: Stores = client.post("/v1/init", &start).await?;
+    let client = client.with_timeout(members::TIMEOUT);
+    let stores: LogMembers = client.post("/v1/init", &start).await?;
     members::print(&stores, json);
     Ok(())
 }
--- a/crates/cli/src/members.rs
+++ b/crates/cli/src/members.rs
@@ -1,10 +1,11 @@
 //! `mimosausher members`: lists the stores, adds one, or removes one.
 
-use std::net::SocketAddr;
+use std::time::Duration;
 
-use serde::{
-    Deserialize,
-    Serialize, //
+use wire::{
+    LogMembers,
+    MemberChange,
+    StoreAddress, //
 };
 
 use crate::{
@@ -14,53 +15,21 @@
     table, //
 };
 
-/// A store as it is named on the command line: `NAME=ADDRESS`, its inner address.
-#[derive(Clone, Debug, Serialize)]
-pub struct Store {
-    inner: SocketAddr,
-    name: Box<str>,
-}
-
-impl Store {
-    /// Reads a store from its word on the command line.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Store`] if the word has another form.
-    pub fn parse(word: &str) -> Result<Self, Error> {
-        let refuse = || Error::Store(word.into());
-        let (name, inner) = word.split_once('=').ok_or_else(refuse)?;
-        Ok(Self {
-            inner: inner.parse().map_err(|_| refuse())?,
-            name: name.into(),
-        })
-    }
-}
-
-/// A change of the stores.
-#[derive(Clone, Debug, Serialize)]
-#[serde(rename_all = "lowercase")]
-enum Change {
-    Add(Store),
-    Remove(Box<str>),
-}
-
-/// The stores of the log.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Stores {
-    confirmed: bool,
-    leader: Option<Box<str>>,
-    members: Vec<Member>,
-    term: u64,
-}
+/// Time after which a change of the stores that is not done is given up.
+pub const TIMEOUT: Duration = Duration::from_secs(30);
 
-/// One store of the log.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-struct Member {
-    id: Box<str>,
-    inner: SocketAddr,
-    name: Box<str>,
-    voter: bool,
+/// Reads a store from its word on the command line, `NAME=ADDRESS` with its inner address.
+///
+/// # Errors
+///
+/// [`Error::Store`] if the word has another form.
+pub fn parse(word: &str) -> Result<StoreAddress, Error> {
+    let refuse = || Error::Store(word.into());
+    let (name, inner) = word.split_once('=').ok_or_else(refuse)?;
+    Ok(StoreAddress {
+        inner: inner.parse().map_err(|_| refuse())?,
+        name: name.into(),
+    })
 }
 
 /// Lists the stores, after adding or removing one if the options say so.
@@ -71,11 +40,12 @@
 pub async fn run(client: Client, options: &Members, json: bool) -> Result<(), Error> {
     let change = match (&options.add, &options.remove) {
         (Some(_), Some(_)) => return Err(Error::Together("--add", "--remove")),
-        (Some(word), None) => Some(Change::Add(Store::parse(word)?)),
-        (None, Some(name)) => Some(Change::Remove(name.as_str().into())),
+        (Some(word), None) => Some(MemberChange::Add(parse(word)?)),
+        (None, Some(name)) => Some(MemberChange::Remove(name.as_str().into())),
         (None, None) => None,
     };
-    let stores: Stores = match change {
+    let client = client.with_timeout(TIMEOUT);
+    let stores: LogMembers = match change {
         Some(change) => client.post("/v1/members", &change).await?,
         None => client.get("/v1/members").await?,
     };
@@ -84,7 +54,7 @@
 }
 
 /// Prints the stores.
-pub fn print(stores: &Stores, json: bool) {
+pub fn print(stores: &LogMembers, json: bool) {
     if json {
         println!("{}", serde_json::json!(stores));
         return;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -5,7 +5,8 @@
 use gumdrop::Options as Gumdrop;
 
 /// What the command line holds.
-#[derive(Debug, Gumdrop)]
+#[derive(Debug)]
+#[derive(Gumdrop)]
 pub struct Options {
     /// File of the authorities' certificates.
     #[options(
@@ -37,7 +38,8 @@
 }
 
 /// A subcommand with its own options.
-#[derive(Debug, Gumdrop)]
+#[derive(Debug)]
+#[derive(Gumdrop)]
 pub enum Subcommand {
     /// Changes the document.
     #[options(help = "change the document, or one section of it")]
@@ -84,7 +86,8 @@
 }
 
 /// Options of `apply`.
-#[derive(Debug, Gumdrop)]
+#[derive(Debug)]
+#[derive(Gumdrop)]
 pub struct Apply {
     /// Who edits.
     #[options(
@@ -116,7 +119,8 @@
 }
 
 /// Options of `audit`.
-#[derive(Debug, Gumdrop)]
+#[derive(Debug)]
+#[derive(Gumdrop)]
 pub struct Audit {
     /// How many lines.
     #[options(help = "how many lines, the latest ones", default = "100")]
@@ -130,7 +134,8 @@
 }
 
 /// Options of `check`.
-#[derive(Debug, Gumdrop)]
+#[derive(Debug)]
+#[derive(Gumdrop)]
 pub struct Check {
     /// The file.
     #[options(free, required, help = "settings file or document")]
@@ -141,7 +146,8 @@
 }
 
 /// Options of `diff`.
-#[derive(Debug, Gumdrop)]
+#[derive(Debug)]
+#[derive(Gumdrop)]
 pub struct Diff {
     /// The file.
     #[options(
@@ -159,7 +165,8 @@
 }
 
 /// Options of `endpoints`.
-#[derive(Debug, Gumdrop)]
+#[derive(Debug)]
+#[derive(Gumdrop)]
 pub struct Endpoints {
     /// Whether to print the usage.
     #[options(help = "print this help")]
@@ -167,7 +174,8 @@
 }
 
 /// Options of `get`.
-#[derive(Debug, Gumdrop)]
+#[derive(Debug)]
+#[derive(Gumdrop)]
 pub struct Get {
     /// Whether to print the usage.
     #[options(help = "print this help")]
@@ -178,7 +186,8 @@
 }
 
 /// Options of `history`.
-#[derive(Debug, Gumdrop)]
+#[derive(Debug)]
+#[derive(Gumdrop)]
 pub struct History {
     /// Whether to print the usage.
     #[options(help = "print this help")]
@@ -192,7 +201,8 @@
 }
 
 /// Options of `init`.
-#[derive(Debug, Gumdrop)]
+#[derive(Debug)]
+#[derive(Gumdrop)]
 pub struct Init {
     /// Whether to print the usage.
     #[options(help = "print this help")]
@@ -207,7 +217,8 @@
 }
 
 /// Options of `key`.
-#[derive(Debug, Gumdrop)]
+#[derive(Debug)]
+#[derive(Gumdrop)]
 pub struct Key {
     /// Name of an admin.
     #[options(help = "name of the admin who gets the key")]
@@ -224,7 +235,8 @@
 }
 
 /// Options of `members`.
-#[derive(Debug, Gumdrop)]
+#[derive(Debug)]
+#[derive(Gumdrop)]
 pub struct Members {
     /// A store to add.
     #[options(
@@ -241,7 +253,8 @@
 }
 
 /// Options of `remove`.
-#[derive(Debug, Gumdrop)]
+#[derive(Debug)]
+#[derive(Gumdrop)]
 pub struct Remove {
     /// Who edits.
     #[options(
@@ -264,7 +277,8 @@
 }
 
 /// Options of `rollback`.
-#[derive(Debug, Gumdrop)]
+#[derive(Debug)]
+#[derive(Gumdrop)]
 pub struct Rollback {
     /// Who edits.
     #[options(
@@ -287,7 +301,8 @@
 }
 
 /// Options of `status`.
-#[derive(Debug, Gumdrop)]
+#[derive(Debug)]
+#[derive(Gumdrop)]
 pub struct Status {
     /// Whether to print the usage.
     #[options(help = "print this help")]
@@ -295,7 +310,8 @@
 }
 
 /// Options of `watch`.
-#[derive(Debug, Gumdrop)]
+#[derive(Debug)]
+#[derive(Gumdrop)]
 pub struct Watch {
     /// How many revisions.
     #[options(help = "end after that many revisions")]
--- a/crates/cli/src/watch.rs
+++ b/crates/cli/src/watch.rs
@@ -15,7 +15,8 @@
 };
 
 /// The document in force at an instance.
-#[derive(Debug, Deserialize, Serialize)]
+#[derive(Debug)]
+#[derive(Deserialize, Serialize)]
 struct InForce {
     revision: u64,
     sections: Vec<SectionText>,
--- a/crates/cli/tests/harness/mod.rs
+++ b/crates/cli/tests/harness/mod.rs
@@ -16,8 +16,12 @@
         Path,
         PathBuf, //
     },
-    process::Command,
-    thread, //
+    process::{
+        Command,
+        Output, //
+    },
+    thread,
+    time::Duration, //
 };
 
 use standin::Cluster;
@@ -92,13 +96,32 @@
         self
     }
 
-    /// Runs the binary, checks what it printed, and returns the output.
-    pub fn run(self) -> String {
-        let output = Command::new(env!("CARGO_BIN_EXE_mimosausher"))
+    /// Runs the binary again until it is no longer refused with `text`, checks what it printed,
+    /// and returns the output.
+    pub fn run_past(self, text: &str) -> String {
+        let mut output = self.output();
+        while String::from_utf8_lossy(&output.stderr).contains(text) {
+            thread::sleep(Duration::from_millis(20));
+            output = self.output();
+        }
+        self.check(output)
+    }
+
+    fn output(&self) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_mimosausher"))
             .args(&self.args)
             .env("NO_COLOR", "1")
             .output()
-            .unwrap();
+            .unwrap()
+    }
+
+    /// Runs the binary, checks what it printed, and returns the output.
+    pub fn run(self) -> String {
+        let output = self.output();
+        self.check(output)
+    }
+
+    fn check(self, output: Output) -> String {
         let stdout = String::from_utf8(output.stdout).unwrap();
         let stderr = String::from_utf8(output.stderr).unwrap();
         let code = output.status.code();
@@ -167,14 +190,14 @@
     let mut answer = vec![0; 65_536];
     // A request whose body comes in a second packet is not whole yet.
     server
-        .set_read_timeout(Some(std::time::Duration::from_millis(200)))
+        .set_read_timeout(Some(Duration::from_millis(200)))
         .unwrap();
     let count = loop {
         match server.read(&mut answer) {
             Ok(count) => break count,
             Err(_) => {
                 caller
-                    .set_read_timeout(Some(std::time::Duration::from_millis(10)))
+                    .set_read_timeout(Some(Duration::from_millis(10)))
                     .unwrap();
                 if let Ok(length) = caller.read(&mut request) {
                     server.write_all(&request[..length]).unwrap();
--- a/crates/codes/src/lib.rs
+++ b/crates/codes/src/lib.rs
@@ -16,7 +16,8 @@
 };
 
 /// Whether the work that a result stands for may have been carried out.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Run {
     /// It may have run; only the endpoint or a later look can tell.
@@ -112,6 +113,7 @@
     NotInitialised = 5009, Not, "The stores have not been initialised.";
     Unauthenticated = 5010, Not, "The key is missing or not known.";
     SectionUnknown = 5011, Not, "There is no such section or version.";
+    MembersRefused = 5012, Not, "The members cannot be changed in this way now.";
     MessageMalformed = 6001, Not, "A message between instances could not be decoded.";
     InstanceUnreachable = 6002, Not, "An instance could not be reached.";
 }
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -9,7 +9,8 @@
 use thiserror::Error as ThisError;
 
 /// A failure that ends the process.
-#[derive(Debug, ThisError)]
+#[derive(Debug)]
+#[derive(ThisError)]
 pub enum Error {
     /// A file of the certificate or its key cannot be used.
     #[error("cannot use {path:?}: {cause}", path = path)]
--- a/crates/daemon/src/inner.rs
+++ b/crates/daemon/src/inner.rs
@@ -1,31 +1,31 @@
 //! The calls that this instance answers to others.
 
 use std::{
-    cell::RefCell,
     rc::Rc, //
 };
 
 use codes::Code;
 use compio::net::TcpListener;
+use store::Message;
 use tarpc::context::Context;
 use wire::{
     AuditLine,
     AuditQuery,
+    Decision,
     Edit,
     Follow,
     Followed,
+    Identity,
     Inner,
+    LogMessage,
     Outcome,
-    PastVersion, //
+    PastVersion,
+    Proposal, //
 };
 
 use crate::{
-    convert,
-    node::{
-        Node,
-        epoch_millis, //
-    },
-    replica::Replica,
+    node::Node,
+    proposals,
     serving, //
 };
 
@@ -48,38 +48,14 @@
     }
 }
 
-/// Gives an edit to this instance's own replica.
-pub fn edit(node: &Node, replica: &RefCell<Replica>, edit: Edit) -> Outcome {
-    let edit = convert::edit(edit, epoch_millis());
-    let outcome = replica.borrow_mut().edit(&edit, &node.changed);
-    match outcome {
-        Ok(outcome) => convert::outcome(outcome),
-        Err(error) => {
-            log::error!(code = error.code().number(); "{error}");
-            Outcome::Refused {
-                advice: error.to_string().into(),
-                code: Code::EditUnknown,
-                version: 0,
-            }
-        }
-    }
-}
-
 impl Inner for Service {
     async fn audit(self, _: Context, query: AuditQuery) -> Option<Vec<AuditLine>> {
         let lines = serving::audit(&self.node, &query);
         lines.filter(|_| serving::confirmed(&self.node))
     }
 
-    async fn edit(self, _: Context, request: Edit) -> Outcome {
-        match &self.node.replica {
-            Some(replica) => edit(&self.node, replica, request),
-            None => Outcome::Refused {
-                advice: "this instance is not a store".into(),
-                code: Code::NoLeader,
-                version: 0,
-            },
-        }
+    async fn edit(self, _: Context, edit: Edit) -> Outcome {
+        proposals::edit(&self.node, edit).await
     }
 
     async fn follow(self, _: Context, follow: Follow) -> Option<Followed> {
@@ -90,4 +66,20 @@
         let versions = serving::history(&self.node, &section);
         versions.filter(|_| serving::confirmed(&self.node))
     }
+
+    async fn identify(self, _: Context) -> Option<Identity> {
+        proposals::identity(&self.node)
+    }
+
+    async fn log(self, _: Context, log: LogMessage) {
+        match (&self.node.replica, Message::decode(&log.bytes)) {
+            (Some(replica), Some(message)) => replica.borrow_mut().receive(log.address, message),
+            (Some(_), None) => self.node.metrics.refuse(Code::MessageMalformed),
+            (None, _) => {}
+        }
+    }
+
+    async fn propose(self, _: Context, proposal: Proposal) -> Decision {
+        proposals::decide(&self.node, proposal).await
+    }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -22,6 +22,7 @@
 use event_listener::Event;
 use membership::Members;
 use settings::Settings;
+use store::Folder;
 use wire::Addresses;
 
 use crate::{
@@ -31,6 +32,7 @@
     error::Error,
     metrics::Metrics,
     replica::Replica,
+    router::Router,
     spread::Spread,
     stop::Stop, //
 };
@@ -60,6 +62,8 @@
     pub metrics: Metrics,
     /// The replica of the configuration; stores only.
     pub replica: Option<RefCell<Replica>>,
+    /// The steering of flows.
+    pub router: RefCell<Router>,
     /// The settings.
     pub settings: Settings,
     /// The socket for datagrams to other instances; set once at the start.
@@ -72,18 +76,22 @@
 }
 
 impl Node {
-    /// Creates what the tasks of a new process share.
+    /// Creates what the tasks of a new process share, and the data folder of a store.
     ///
     /// # Errors
     ///
     /// Any failure of the data folder.
-    pub fn new(settings: Settings, addresses: Addresses) -> Result<Self, Error> {
-        let replica = match &settings.data {
-            Some(folder) => Some(RefCell::new(Replica::open(folder)?)),
-            None => None,
+    pub fn new(settings: Settings, addresses: Addresses) -> Result<(Self, Option<Folder>), Error> {
+        let (replica, folder) = match &settings.data {
+            Some(path) => {
+                let (replica, folder) = Replica::open(path)?;
+                (Some(RefCell::new(replica)), Some(folder))
+            }
+            None => (None, None),
         };
         let incarnation = epoch_millis();
-        Ok(Self {
+        let router = Router::new(&settings.instance, incarnation);
+        let node = Self {
             addresses,
             auth: Auth::open(&settings)?,
             changed: Event::new(),
@@ -95,12 +103,14 @@
             members: RefCell::new(Members::new(&settings.instance.name)),
             metrics: Metrics::new(),
             replica,
+            router: RefCell::new(router),
             settings,
             socket: OnceCell::new(),
             spread: Spread::default(),
             start: Instant::now(),
             stop: Stop::default(),
-        })
+        };
+        Ok((node, folder))
     }
 
     /// Time since the process started.
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -20,8 +20,8 @@
 
 use crate::{
     auth::Caller,
-    inner,
     node::Node,
+    proposals,
     refusal::Refusal,
     stores, //
 };
@@ -33,7 +33,8 @@
 const WATCH_WAIT: Duration = Duration::from_secs(4);
 
 /// The document in force at an instance.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
 pub struct InForce {
     /// Revision of the document.
     pub revision: u64,
@@ -53,7 +54,7 @@
         Caller::Local | Caller::Remote => {}
     }
     let outcome = match &node.replica {
-        Some(replica) => inner::edit(node, replica, edit),
+        Some(_) => proposals::edit(node, edit).await,
         None => stores::edit(node, edit).await,
     };
     if let Outcome::Refused { code, .. } = &outcome {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -21,9 +21,11 @@
 use crate::{
     admin::Admin,
     datagrams,
+    driver,
     error::Error,
     exit::Exit,
     fabric,
+    flows,
     follower,
     http,
     inner,
@@ -103,28 +105,36 @@
 async fn serve(settings: Settings) -> Result<(), Error> {
     let listeners = Listeners::open(&settings.listen).await?;
     let addresses = listeners.addresses().map_err(Error::Runtime)?;
-    let node = Rc::new(Node::new(settings, addresses)?);
+    let (node, folder) = Node::new(settings, addresses)?;
+    let node = Rc::new(node);
     let socket = Rc::new(listeners.datagrams);
     // The cell is empty: this is the only place that sets it.
     let _set = node.socket.set(socket.clone());
     spawn(datagrams::receive(node.clone(), socket)).detach();
     spawn(datagrams::beat(node.clone())).detach();
+    if let Some(folder) = folder {
+        spawn(driver::run(node.clone(), folder)).detach();
+    }
     spawn(inner::accept(node.clone(), listeners.calls)).detach();
     spawn(follower::follow(node.clone())).detach();
     spawn(stop_on_signal(node.clone())).detach();
     let admin = http::serve(node.clone(), listeners.admin, Admin::new(node.clone()));
     let admin = spawn(admin);
     let callers = listeners.faces.map(|faces| {
-        spawn(fabric::forward(node.clone(), faces.fabric)).detach();
+        let fabric = Rc::new(faces.fabric);
+        spawn(fabric::forward(node.clone(), fabric.clone())).detach();
+        let flows = spawn(flows::tend(node.clone(), fabric));
         let handler = Requests::new(node.clone());
-        spawn(http::serve(node.clone(), faces.requests, handler))
+        let requests = spawn(http::serve(node.clone(), faces.requests, handler));
+        (flows, requests)
     });
     if let Ok(line) = serde_json::to_string(&node.addresses) {
         println!("{line}");
     }
     log::info!(name = &*node.settings.instance.name; "started");
-    if let Some(callers) = callers {
-        let _ended = callers.await;
+    if let Some((flows, requests)) = callers {
+        let _ended = requests.await;
+        let _ended = flows.await;
     }
     let _ended = admin.await;
     log::info!("stopped");
--- a/crates/daemon/src/serving.rs
+++ b/crates/daemon/src/serving.rs
@@ -18,12 +18,12 @@
 pub async fn follow(node: &Node, follow: Follow) -> Option<Followed> {
     let replica = node.replica.as_ref()?;
     let listener = node.changed.listen();
-    let followed = node.spread.answer(replica, follow);
+    let followed = node.spread.answer(replica, node.now(), follow);
     if followed.revision > follow.revision {
         return Some(followed);
     }
     let _notified = compio::time::timeout(distribution::WAIT, listener).await;
-    Some(node.spread.answer(replica, follow))
+    Some(node.spread.answer(replica, node.now(), follow))
 }
 
 /// The last lines of the audit trail, oldest first; none if this instance is no store.
@@ -71,7 +71,7 @@
 /// Whether other instances may rely on what this store reads back.
 pub fn confirmed(node: &Node) -> bool {
     let replica = node.replica.as_ref();
-    replica.is_some_and(|replica| replica.borrow().confirmed())
+    replica.is_some_and(|replica| replica.borrow().confirmed(node.now()))
 }
 
 fn line(audit: &store::Audit) -> AuditLine {
--- a/crates/daemon/src/spread.rs
+++ b/crates/daemon/src/spread.rs
@@ -2,7 +2,8 @@
 
 use std::{
     cell::RefCell,
-    net::SocketAddr, //
+    net::SocketAddr,
+    time::Duration, //
 };
 
 use distribution::Follower;
@@ -28,15 +29,15 @@
 }
 
 impl Spread {
-    /// Answers a follower from this store's replica.
-    pub fn answer(&self, replica: &RefCell<Replica>, follow: Follow) -> Followed {
+    /// Answers a follower from this store's replica, at `now` since the process started.
+    pub fn answer(&self, replica: &RefCell<Replica>, now: Duration, follow: Follow) -> Followed {
         let replica = replica.borrow();
         let mut published = self.published.borrow_mut();
         if let Some(update) = replica.update(published.revision()) {
             published.record(update);
         }
         Followed {
-            confirmed: replica.confirmed(),
+            confirmed: replica.confirmed(now),
             delta: published.since(follow.revision).filter(|_| !follow.brief),
             revision: published.revision(),
         }
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -11,6 +11,12 @@
         Follow,
         Followed, //
     },
+    log::{
+        Decision,
+        Identity,
+        LogMessage,
+        Proposal, //
+    },
     trail::{
         AuditLine,
         AuditQuery,
@@ -19,7 +25,8 @@
 };
 
 /// An operator's edit of one section.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Edit {
     /// Who edits.
@@ -38,7 +45,8 @@
 }
 
 /// What became of an edit.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Outcome {
     /// It is synced to disk and will be in force everywhere.
@@ -60,7 +68,8 @@
 }
 
 /// A section's text and version.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct SectionText {
     /// Name of the section.
     pub name: Box<str>,
@@ -71,7 +80,8 @@
 }
 
 /// A whole document.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Update {
     /// Revision of the document.
     pub revision: u64,
@@ -95,4 +105,13 @@
     /// Reads the last versions of a section, oldest first; none if this instance is no store or
     /// no quorum confirms it.
     async fn history(section: Box<str>) -> Option<Vec<PastVersion>>;
+
+    /// Says which data folder the store has; none from other instances.
+    async fn identify() -> Option<Identity>;
+
+    /// Takes a message of the replicated log; stores only.
+    async fn log(message: LogMessage);
+
+    /// Decides a request if this store leads, and refuses it otherwise.
+    async fn propose(proposal: Proposal) -> Decision;
 }
--- a/crates/wire/src/follow.rs
+++ b/crates/wire/src/follow.rs
@@ -8,7 +8,8 @@
 use crate::call::SectionText;
 
 /// What a follower asks for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Follow {
     /// Whether the revision's number is enough, without what changed.
     pub brief: bool,
@@ -17,7 +18,8 @@
 }
 
 /// What a store answers.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Followed {
     /// Whether the store was in contact with a quorum lately.
     pub confirmed: bool,
@@ -28,7 +30,8 @@
 }
 
 /// What changed in a document.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Delta {
     /// The sections that changed.
     pub changed: Vec<SectionText>,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,7 +10,9 @@
 mod endpoint;
 mod error;
 mod follow;
+mod handover;
 mod instance;
+mod log;
 mod server;
 mod trail;
 
@@ -42,10 +44,28 @@
         Follow,
         Followed, //
     },
+    handover::{
+        CopiedFlows,
+        FlowDatagram,
+        Handover,
+        MAX_HANDOVER_BYTES,
+        Task, //
+    },
     instance::{
         Addresses,
         Instance, //
     },
+    log::{
+        Decision,
+        Identity,
+        Init,
+        LogMember,
+        LogMembers,
+        LogMessage,
+        MemberChange,
+        Proposal,
+        StoreAddress, //
+    },
     server::{
         IDLE_TIMEOUT,
         serve, //
--- a/crates/wire/src/trail.rs
+++ b/crates/wire/src/trail.rs
@@ -8,7 +8,8 @@
 use crate::call::Outcome;
 
 /// Which lines of the audit trail are read.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct AuditQuery {
     /// How many at most; the latest ones.
     pub count: u32,
@@ -17,7 +18,8 @@
 }
 
 /// One line of the audit trail.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct AuditLine {
     /// Who edited.
     pub author: Box<str>,
@@ -34,7 +36,8 @@
 }
 
 /// A version of a section.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct PastVersion {
     /// Who made it; none if the audit trail no longer tells.
     pub author: Option<Box<str>>,
