Failure tests of the distribution: frozen, isolated and removed stores, silent connections, restarts, deltas

Cause: the mechanisms that keep an entry from an isolated or silent store had tests of the state machine only.

A store hands over just the changed and removed sections, and closes a connection without a call.

--- /dev/null
+++ b/crates/daemon/tests/distribution_deltas.rs
@@ -0,0 +1,104 @@
+//! What travels from a store to a follower, and what becomes of a silent connection.
+
+use std::{
+    io::Read,
+    net::{
+        SocketAddr,
+        TcpStream, //
+    },
+    time::Duration,
+};
+
+use standin::Cluster;
+use tarpc::context;
+use wire::{
+    Follow,
+    Followed, //
+};
+
+fn text(name: &str, host: &str) -> String {
+    format!(
+        "team = \"t\"\n\n[[service]]\nname = \"{name}\"\nmode = \"requests\"\n\
+         hosts = [\"{host}.example\"]\nendpoints = [\"e-*\"]\n"
+    )
+}
+
+/// Asks a store as a follower does.
+fn follow(store: SocketAddr, brief: bool, revision: u64) -> Followed {
+    let timers = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()
+        .unwrap();
+    let _entered = timers.enter();
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        let client = wire::connect(store).await.unwrap();
+        let call = client.follow(context::current(), Follow { brief, revision });
+        call.await.unwrap().unwrap()
+    })
+}
+
+fn names(followed: &Followed) -> (Vec<&str>, Vec<&str>, bool) {
+    let delta = followed.delta.as_ref().unwrap();
+    let changed = delta.changed.iter().map(|section| &*section.name).collect();
+    let removed = delta.removed.iter().map(|name| &**name).collect();
+    (changed, removed, delta.complete)
+}
+
+#[test]
+fn follow_changed_sections() {
+    let mut cluster = Cluster::new()
+        .and_then(|cluster| cluster.with_store("store-1", "porto-a"))
+        .and_then(|cluster| cluster.with_entry("entry-1", "porto-a"))
+        .unwrap();
+    let store = cluster.stores[0].address("admin");
+    let inner = cluster.stores[0].address("inner");
+    for (number, name) in ["a", "b", "c"].iter().enumerate() {
+        let text = text(name, name);
+        let answer = Cluster::edit(store, name, name, 0, &text).unwrap();
+        let accepted = format!("\"revision\":{}", number + 1);
+        assert!(answer.text().contains(&accepted), "{}", answer.text());
+    }
+    assert_eq!(
+        names(&follow(inner, false, 0)),
+        (vec!["a", "b", "c"], vec![], true)
+    );
+    Cluster::edit(store, "b2", "b", 1, &text("b", "other")).unwrap();
+    Cluster::edit(store, "c2", "c", 1, "").unwrap();
+    let followed = follow(inner, false, 3);
+    assert_eq!((followed.confirmed, followed.revision), (true, 5));
+    assert_eq!(names(&followed), (vec!["b"], vec!["c"], false));
+    assert_eq!(names(&follow(inner, false, 4)), (vec![], vec!["c"], false));
+    let followed = follow(inner, true, 3);
+    assert_eq!((followed.revision, followed.delta), (5, None));
+    cluster.await_revision(5).unwrap();
+    let page = Cluster::await_page(cluster.entries[0].address("admin"), "/v1/document", |_| {
+        true
+    });
+    let page = page.unwrap();
+    let shown: Vec<_> = page
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|row| &row["name"])
+        .collect();
+    assert_eq!(shown, ["a", "b"]);
+    cluster.stores[0].kill().unwrap();
+    cluster.stores[0].restart().unwrap();
+    Cluster::await_page(store, "/v1/status", |page| page["revision"] == 5).unwrap();
+    assert_eq!(
+        names(&follow(inner, false, 3)),
+        (vec!["a", "b"], vec![], true)
+    );
+}
+
+#[test]
+fn serve_silent_connection() {
+    let cluster = Cluster::new()
+        .and_then(|cluster| cluster.with_store("store-1", "porto-a"))
+        .unwrap();
+    let mut stream = TcpStream::connect(cluster.stores[0].address("inner")).unwrap();
+    stream
+        .set_read_timeout(Some(6 * wire::IDLE_TIMEOUT + Duration::from_secs(1)))
+        .unwrap();
+    assert_eq!(stream.read(&mut [0; 16]).unwrap(), 0);
+}
--- /dev/null
+++ b/crates/daemon/tests/distribution_failures.rs
@@ -0,0 +1,202 @@
+//! Entries follow stores that are frozen, isolated, killed or far ahead, as real processes.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    thread,
+    time::Duration, //
+};
+
+use serde_json::Value;
+use standin::{
+    Cluster,
+    Signal,
+    call, //
+};
+
+fn text(number: u64) -> String {
+    format!(
+        "team = \"t\"\n\n[[service]]\nname = \"s\"\nmode = \"requests\"\n\
+         hosts = [\"h{number}.example\"]\nendpoints = [\"e-*\"]\n"
+    )
+}
+
+/// Three stores and some entries, with one accepted edit in force.
+fn cluster(entries: usize) -> Cluster {
+    let stores = ["store-1", "store-2", "store-3"];
+    let cluster = stores.iter().fold(Cluster::new(), |cluster, name| {
+        cluster.and_then(|cluster| cluster.with_store(name, "porto-a"))
+    });
+    let cluster = (0..entries).fold(cluster, |cluster, number| {
+        cluster.and_then(|cluster| cluster.with_entry(&format!("entry-{number}"), "porto-b"))
+    });
+    let cluster = cluster.unwrap();
+    edit(cluster.stores[0].address("admin"), 0);
+    cluster.await_revision(1).unwrap();
+    cluster
+}
+
+/// Sends the edit that follows `base` through an instance until it is accepted.
+fn edit(instance: SocketAddr, base: u64) {
+    let id = format!("e{base}");
+    let accepted = format!("\"revision\":{}", base + 1);
+    await_that(|| {
+        let answer = Cluster::edit(instance, &id, "section", base, &text(base));
+        answer.is_ok_and(|answer| answer.text().contains(&accepted))
+    });
+}
+
+/// Waits for what has to come about.
+fn await_that(condition: impl Fn() -> bool) {
+    let came = (0..1_500).any(|_| {
+        let came = condition();
+        if !came {
+            thread::sleep(Duration::from_millis(20));
+        }
+        came
+    });
+    assert!(came);
+}
+
+fn revision(instance: SocketAddr) -> u64 {
+    let answer = call(instance, "GET /v1/status", &[], b"").unwrap();
+    let page: Value = serde_json::from_slice(&answer.body).unwrap();
+    page["revision"].as_u64().unwrap()
+}
+
+fn ready(instance: SocketAddr) -> bool {
+    let answer = call(instance, "GET /readyz", &[], b"");
+    answer.is_ok_and(|answer| answer.status == 200)
+}
+
+fn await_ready(instance: SocketAddr) {
+    Cluster::await_page(instance, "/v1/status", |page| page["ready"] == true).unwrap();
+}
+
+fn log(cluster: &Cluster, name: &str) -> String {
+    fs::read_to_string(cluster.folder().join(format!("{name}.log"))).unwrap()
+}
+
+/// Whether an entry's log says that it left a store.
+fn left(cluster: &Cluster, name: &str, store: SocketAddr) -> bool {
+    log(cluster, name).contains(&format!("the store at {store} is no longer followed"))
+}
+
+#[test]
+fn follow_frozen_store() {
+    let cluster = cluster(1);
+    let entry = cluster.entries[0].address("admin");
+    for frozen in 0..3 {
+        let base = revision(entry);
+        cluster.stores[frozen].signal(Signal::STOP).unwrap();
+        edit(cluster.stores[(frozen + 1) % 3].address("admin"), base);
+        cluster.await_revision(base + 1).unwrap();
+        cluster.stores[frozen].signal(Signal::CONT).unwrap();
+        assert!(ready(entry));
+    }
+    let stores = cluster.stores.iter();
+    let silent = stores.filter(|store| left(&cluster, "entry-0", store.address("inner")));
+    assert!(silent.count() > 0);
+}
+
+#[test]
+fn follow_isolated_store() {
+    let mut cluster = cluster(6);
+    let isolated = cluster.stores[2].address("inner");
+    Cluster::remove(cluster.stores[0].address("admin"), "store-3").unwrap();
+    Cluster::await_page(cluster.stores[2].address("admin"), "/v1/members", |page| {
+        page["confirmed"] == false
+    })
+    .unwrap();
+    for base in 1..20 {
+        edit(cluster.stores[0].address("admin"), base);
+    }
+    cluster.await_revision(20).unwrap();
+    assert!(revision(cluster.stores[2].address("admin")) < 20);
+    let leaves = |number| left(&cluster, &format!("entry-{number}"), isolated);
+    await_that(|| (0..6).any(leaves));
+    for entry in &mut cluster.entries {
+        entry.kill().unwrap();
+        entry.restart().unwrap();
+        await_ready(entry.address("admin"));
+        assert_eq!(revision(entry.address("admin")), 20);
+    }
+}
+
+#[test]
+fn restart_without_quorum() {
+    let mut cluster = cluster(2);
+    for store in &cluster.stores[..2] {
+        store.signal(Signal::STOP).unwrap();
+    }
+    let alone = cluster.stores[2].address("admin");
+    Cluster::await_page(alone, "/v1/members", |page| {
+        page["confirmed"] == false && page["leader"].is_null()
+    })
+    .unwrap();
+    let [kept, restarted] = &mut cluster.entries[..] else {
+        panic!("two entries");
+    };
+    restarted.kill().unwrap();
+    restarted.restart().unwrap();
+    // It has asked the one store that answers, and did not take what no quorum confirms.
+    let (kept, restarted) = (kept.address("admin"), restarted.address("admin"));
+    let store = cluster.stores[2].address("inner");
+    await_that(|| {
+        let text = log(&cluster, "entry-1");
+        let (_, run) = text.rsplit_once("\"started\"").unwrap();
+        run.contains(&format!("the store at {store} is no longer followed"))
+    });
+    assert_eq!((revision(restarted), ready(restarted)), (0, false));
+    assert_eq!((revision(kept), ready(kept)), (1, true));
+    let answer = Cluster::edit(kept, "late", "section", 1, &text(9)).unwrap();
+    let outcome: Value = serde_json::from_slice(&answer.body).unwrap();
+    assert!(
+        ["EditUnknown", "NoLeader"].contains(&outcome["refused"]["code"].as_str().unwrap()),
+        "{outcome}"
+    );
+    for store in &cluster.stores[..2] {
+        store.signal(Signal::CONT).unwrap();
+    }
+    await_ready(restarted);
+    assert!(revision(restarted) >= 1);
+}
+
+#[test]
+fn edit_cut_off_entry() {
+    let mut cluster = cluster(1);
+    let entry = cluster.entries[0].address("admin");
+    for store in &mut cluster.stores {
+        store.kill().unwrap();
+    }
+    let answer = Cluster::edit(entry, "late", "section", 1, &text(9)).unwrap();
+    let outcome: Value = serde_json::from_slice(&answer.body).unwrap();
+    assert_eq!(outcome["refused"]["code"], "NoLeader");
+    assert_eq!((revision(entry), ready(entry)), (1, true));
+    for store in &mut cluster.stores {
+        store.restart().unwrap();
+    }
+    edit(entry, 1);
+    cluster.await_revision(2).unwrap();
+}
+
+#[test]
+fn restart_after_hundreds() {
+    let mut cluster = cluster(2);
+    cluster.entries[0].kill().unwrap();
+    cluster.entries[1].signal(Signal::STOP).unwrap();
+    let store = cluster.stores[1].address("admin");
+    for base in 1..300 {
+        edit(store, base);
+    }
+    cluster.entries[0].restart().unwrap();
+    cluster.entries[1].signal(Signal::CONT).unwrap();
+    let restarted = cluster.entries[0].address("admin");
+    await_ready(restarted);
+    assert_eq!(revision(restarted), 300);
+    cluster.await_revision(300).unwrap();
+    let document = |instance| call(instance, "GET /v1/document", &[], b"").unwrap().text();
+    for entry in cluster.faces("admin") {
+        assert_eq!(document(entry), document(store));
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/distribution_silence.rs
@@ -0,0 +1,115 @@
+//! Open connections go silent for good, while new ones to the same store work.
+
+use std::{
+    io::{
+        Read,
+        Write, //
+    },
+    net::{
+        SocketAddr,
+        TcpListener,
+        TcpStream, //
+    },
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
+    },
+    thread,
+};
+
+use standin::{
+    Cluster,
+    Daemon, //
+};
+
+/// Passes TCP connections on; those that are open when it freezes stay open and lose all bytes.
+struct Forwarder {
+    address: SocketAddr,
+    frozen: Arc<AtomicU64>,
+}
+
+impl Forwarder {
+    fn start(to: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let frozen = Arc::new(AtomicU64::new(0));
+        let shared = frozen.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let near = stream.unwrap();
+                let far = TcpStream::connect(to).unwrap();
+                let (back, forth) = (far.try_clone().unwrap(), near.try_clone().unwrap());
+                let epoch = shared.load(Ordering::SeqCst);
+                for (from, to) in [(near, far), (back, forth)] {
+                    let shared = shared.clone();
+                    thread::spawn(move || copy(from, to, &shared, epoch));
+                }
+            }
+        });
+        Self { address, frozen }
+    }
+
+    fn freeze(&self) {
+        self.frozen.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+/// Copies bytes, and drops them once the forwarder has frozen after `epoch`.
+fn copy(mut from: TcpStream, mut to: TcpStream, frozen: &AtomicU64, epoch: u64) {
+    let mut bytes = [0; 16_384];
+    while let Ok(count) = from.read(&mut bytes) {
+        let silent = frozen.load(Ordering::SeqCst) > epoch;
+        if count == 0 && silent {
+            // The other end is not told.
+            loop {
+                thread::park();
+            }
+        }
+        if count == 0 || (!silent && to.write_all(&bytes[..count]).is_err()) {
+            return;
+        }
+    }
+}
+
+fn text(number: u64) -> String {
+    format!(
+        "team = \"t\"\n\n[[service]]\nname = \"s\"\nmode = \"requests\"\n\
+         hosts = [\"h{number}.example\"]\nendpoints = [\"e-*\"]\n"
+    )
+}
+
+#[test]
+fn follow_silent_connections() {
+    let cluster = Cluster::new()
+        .and_then(|cluster| cluster.with_store("store-1", "porto-a"))
+        .unwrap();
+    let store = cluster.stores[0].address("admin");
+    let inner = cluster.stores[0].address("inner");
+    let forwarders = [Forwarder::start(inner), Forwarder::start(inner)];
+    // No datagram passes the forwarders, so that the entry knows the store by them alone.
+    let seeds: Vec<_> = forwarders
+        .iter()
+        .map(|one| one.address.to_string())
+        .collect();
+    let settings = format!(
+        "seeds = {seeds:?}\n[instance]\nname = \"entry-1\"\ncentre = \"porto-b\"\n\
+         roles = [\"entry\"]\n[listen]\nadmin = \"127.0.0.1:0\"\ninner = \"127.0.0.1:0\"\n\
+         fabric = \"127.0.0.1:0\"\nrequests = \"127.0.0.1:0\"\n"
+    );
+    let entry = Daemon::start(cluster.folder(), "entry-1", &settings).unwrap();
+    for number in 0..3 {
+        let id = format!("e{number}");
+        let answer = Cluster::edit(store, &id, "section", number, &text(number)).unwrap();
+        assert!(answer.text().contains("accepted"), "{}", answer.text());
+        Cluster::await_page(entry.address("admin"), "/v1/status", |page| {
+            page["revision"] == number + 1
+        })
+        .unwrap();
+        for forwarder in &forwarders {
+            forwarder.freeze();
+        }
+    }
+}
