--- a/crates/daemon/src/inner.rs
+++ b/crates/daemon/src/inner.rs
@@ -1,8 +1,7 @@
 //! The calls that this instance answers to others.
 
 use std::{
-    rc::Rc,
-    time::Duration, //
+    rc::Rc, //
 };
 
 use codes::Code;
@@ -10,6 +9,8 @@
 use store::Message;
 use tarpc::context::Context;
 use wire::{
+    AuditLine,
+    AuditQuery,
     Claim,
     ClaimEnd,
     ClaimRecord,
@@ -17,24 +18,23 @@
     Decision,
     Edit,
     Follow,
+    Followed,
     Identity,
     Inner,
     LogMessage,
     Outcome,
-    Proposal,
-    Update, //
+    PastVersion,
+    Proposal, //
 };
 
 use crate::{
     claims,
     convert_claims,
     node::Node,
-    proposals, //
+    proposals,
+    serving, //
 };
 
-/// Time for which a follower waits before it is told that nothing is new.
-const FOLLOW_WAIT: Duration = Duration::from_secs(2);
-
 /// Answers other instances' calls.
 #[derive(Clone, Debug)]
 pub struct Service {
@@ -65,19 +65,22 @@
         Some(records.into_iter().map(convert_claims::recorded).collect())
     }
 
+    async fn audit(self, _: Context, query: AuditQuery) -> Option<Vec<AuditLine>> {
+        let lines = serving::audit(&self.node, &query);
+        lines.filter(|_| serving::confirmed(&self.node))
+    }
+
     async fn edit(self, _: Context, edit: Edit) -> Outcome {
         proposals::edit(&self.node, edit).await
     }
 
-    async fn follow(self, _: Context, follow: Follow) -> Option<Update> {
-        let replica = self.node.replica.as_ref()?;
-        let listener = self.node.changed.listen();
-        let update = replica.borrow().update(follow.revision);
-        if update.is_some() {
-            return update;
-        }
-        let _notified = compio::time::timeout(FOLLOW_WAIT, listener).await;
-        replica.borrow().update(follow.revision)
+    async fn follow(self, _: Context, follow: Follow) -> Option<Followed> {
+        serving::follow(&self.node, follow).await
+    }
+
+    async fn history(self, _: Context, section: Box<str>) -> Option<Vec<PastVersion>> {
+        let versions = serving::history(&self.node, &section);
+        versions.filter(|_| serving::confirmed(&self.node))
     }
 
     async fn identify(self, _: Context) -> Option<Identity> {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admin;
 mod attempt;
+mod auth;
 mod claims;
 mod configuration;
 mod connections;
@@ -30,9 +31,11 @@
 mod members;
 mod metrics;
 mod node;
+mod operators;
 mod options;
 mod pending;
 mod proposals;
+mod published;
 mod refusal;
 mod refused;
 mod replica;
@@ -40,8 +43,11 @@
 mod router;
 mod run;
 mod services;
+mod serving;
 mod slot;
+mod spread;
 mod stop;
+mod stores;
 mod tracked;
 mod upload;
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -22,6 +22,7 @@
 use wire::Addresses;
 
 use crate::{
+    auth::Auth,
     claims::Claims,
     configuration::Configuration,
     connections::Connections,
@@ -30,6 +31,7 @@
     replica::Replica,
     router::Router,
     services::Services,
+    spread::Spread,
     stop::Stop, //
 };
 
@@ -38,6 +40,8 @@
 pub struct Node {
     /// Where the instance is reached.
     pub addresses: Addresses,
+    /// Who may call the operators' interface.
+    pub auth: Auth,
     /// Notified when the replica has changed.
     pub changed: Event,
     /// This entry's part in the claims on idempotency keys.
@@ -64,6 +68,8 @@
     pub settings: Settings,
     /// The socket for datagrams to other instances; set once at the start.
     pub socket: OnceCell<Rc<UdpSocket>>,
+    /// The document's way to this instance.
+    pub spread: Spread,
     /// The planned stop.
     pub stop: Stop,
     start: Instant,
@@ -87,6 +93,7 @@
         let router = Router::new(&settings.instance, incarnation);
         let node = Self {
             addresses,
+            auth: Auth::open(&settings)?,
             changed: Event::new(),
             claims: Claims::new(&settings.instance.name),
             configuration: RefCell::new(Configuration::new()),
@@ -100,6 +107,7 @@
             router: RefCell::new(router),
             settings,
             socket: OnceCell::new(),
+            spread: Spread::default(),
             start: Instant::now(),
             stop: Stop::default(),
         };
@@ -122,11 +130,13 @@
         }
     }
 
-    /// Whether the instance can serve: it has a document in force and is not stopping.
+    /// Whether the instance can serve: it has a document in force that a quorum of the stores
+    /// confirmed after its start, and is not stopping.
     pub fn ready(&self) -> bool {
         let stored = self.replica.is_some();
         let revision = self.configuration.borrow().revision();
-        (stored || revision > 0) && !self.stop.begun()
+        let confirmed = self.spread.follower.borrow().confirmed();
+        (stored || (confirmed && revision > 0)) && !self.stop.begun()
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,15 +10,16 @@
 mod datagram;
 mod endpoint;
 mod error;
+mod follow;
 mod handover;
 mod instance;
 mod log;
 mod server;
+mod trail;
 
 pub use crate::{
     call::{
         Edit,
-        Follow,
         Inner,
         InnerClient,
         InnerRequest,
@@ -45,6 +46,11 @@
         State, //
     },
     error::Error,
+    follow::{
+        Delta,
+        Follow,
+        Followed, //
+    },
     handover::{
         CopiedFlows,
         FlowDatagram,
@@ -67,5 +73,13 @@
         Proposal,
         StoreAddress, //
     },
-    server::serve, //
+    server::{
+        IDLE_TIMEOUT,
+        serve, //
+    },
+    trail::{
+        AuditLine,
+        AuditQuery,
+        PastVersion, //
+    },
 };
