Configuration in force as a package of its own, changed section by section

Cause: the daemon copied and indexed the whole document for each change; at 20,000 services and a change each 4.8 s that grows with the document. The daemon does not use it yet; the former way was not measured.

--- /dev/null
+++ b/crates/configuration/benches/capacity.rs
@@ -0,0 +1,98 @@
+//! Processor time of a change and memory of the document, by the number of services.
+
+#![allow(missing_docs, reason = "a benchmark has no public items")]
+
+use std::{
+    fs,
+    hint::black_box,
+    time::Instant, //
+};
+
+use mimosausher_configuration::{
+    Change,
+    Configuration,
+    Text, //
+};
+use standin::{
+    Figure,
+    Fit, //
+};
+
+/// Numbers of services.
+const SIZES: [u32; 5] = [2_500, 5_000, 10_000, 20_000, 40_000];
+
+/// Services in a section.
+const SECTION: u32 = 10;
+
+/// Changes that are timed at each size.
+const CHANGES: u32 = 400;
+
+/// Bytes in a page of memory.
+const PAGE_BYTES: f64 = 4096.0;
+
+fn main() {
+    let (mut memories, mut times) = (Vec::new(), Vec::new());
+    for size in SIZES {
+        let before = resident();
+        let mut configuration = Configuration::new();
+        let changed = (0..size / SECTION).map(|number| text(number, 0)).collect();
+        configuration.apply(change(1, true, changed)).unwrap();
+        memories.push((f64::from(size), resident() - before));
+        let start = Instant::now();
+        for turn in 0..CHANGES {
+            let changed = vec![text(turn % (size / SECTION), turn)];
+            let revision = u64::from(turn) + 2;
+            configuration
+                .apply(change(revision, false, changed))
+                .unwrap();
+        }
+        let nanos = start.elapsed().as_secs_f64() * 1e9 / f64::from(CHANGES);
+        Figure::new(
+            "configuration.change",
+            &format!("{size} services"),
+            nanos,
+            "ns",
+        )
+        .print();
+        times.push((f64::from(size), nanos));
+        // Memory that is freed is not given back at once, so it must not serve the next size.
+        std::mem::forget(black_box(configuration));
+    }
+    let case = "by service in the document";
+    Fit::new(&times).print("capacity.configuration_ns", case, "ns/change");
+    Fit::new(&memories).print("capacity.configuration_memory", case, "B");
+}
+
+/// Resident memory of the process in bytes.
+fn resident() -> f64 {
+    let text = fs::read_to_string("/proc/self/statm").unwrap();
+    let pages = text.split(' ').nth(1).unwrap();
+    pages.parse::<f64>().unwrap() * PAGE_BYTES
+}
+
+fn change(revision: u64, complete: bool, changed: Vec<Text>) -> Change {
+    Change {
+        changed,
+        complete,
+        removed: Vec::new(),
+        revision,
+    }
+}
+
+fn text(number: u32, turn: u32) -> Text {
+    let mut text = format!("team = \"team-{number}\"\n");
+    for service in number * SECTION..(number + 1) * SECTION {
+        let [_, one, two, three] = service.to_be_bytes();
+        text += &format!(
+            "[[service]]\nname = \"service-{service}\"\nmode = \"flows\"\n\
+             address = \"10.{one}.{two}.{three}\"\nport = {}\ntransport = \"tcp\"\n\
+             endpoints = [\"service-{service}-*\"]\n",
+            1000 + turn % 1000
+        );
+    }
+    Text {
+        name: format!("section-{number}").into(),
+        text: text.into(),
+        version: u64::from(turn) + 1,
+    }
+}
--- /dev/null
+++ b/crates/configuration/src/change.rs
@@ -0,0 +1,25 @@
+//! What differs between two revisions of the document.
+
+/// A section's text and version.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Text {
+    /// Name of the section.
+    pub name: Box<str>,
+    /// Its text.
+    pub text: Box<str>,
+    /// Its version.
+    pub version: u64,
+}
+
+/// What differs between two revisions of the document.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Change {
+    /// Sections with a new text.
+    pub changed: Vec<Text>,
+    /// Whether `changed` is the whole document, so that all other sections go.
+    pub complete: bool,
+    /// Names of the sections that go.
+    pub removed: Vec<Box<str>>,
+    /// The later revision.
+    pub revision: u64,
+}
--- /dev/null
+++ b/crates/configuration/src/configuration.rs
@@ -0,0 +1,177 @@
+//! The document in force, ready to be looked up by packet and by request.
+
+use std::{
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    time::Duration, //
+};
+
+use settings::{
+    Address,
+    Error,
+    KEEP_MS,
+    Section,
+    Service,
+    Source, //
+};
+use slotmap::SlotMap;
+
+use crate::change::{
+    Change,
+    Text, //
+};
+
+slotmap::new_key_type! {
+    /// Key of a service; never used again for another one.
+    pub struct ServiceKey;
+}
+
+/// A section in force.
+#[derive(Clone, Debug)]
+struct Entry {
+    keys: Box<[ServiceKey]>,
+    text: Text,
+}
+
+/// The document in force, ready to be looked up by packet and by request.
+#[derive(Clone, Debug, Default)]
+pub struct Configuration {
+    addresses: HashMap<Address, ServiceKey>,
+    hosts: HashMap<Box<str>, ServiceKey>,
+    names: HashMap<Box<str>, ServiceKey>,
+    retention: Duration,
+    revision: u64,
+    sections: BTreeMap<Box<str>, Entry>,
+    services: SlotMap<ServiceKey, Service>,
+}
+
+impl Configuration {
+    /// Creates the empty configuration of a first start.
+    pub fn new() -> Self {
+        Self {
+            retention: Duration::from_millis(KEEP_MS),
+            ..Self::default()
+        }
+    }
+
+    /// Takes a change into force; returns false, and changes nothing, if its revision is not
+    /// later than the one in force.
+    ///
+    /// # Errors
+    ///
+    /// The refusal of a section's text; nothing is changed.
+    pub fn apply(&mut self, change: Change) -> Result<bool, Error> {
+        if change.revision <= self.revision {
+            return Ok(false);
+        }
+        let mut parsed = Vec::with_capacity(change.changed.len());
+        for text in change.changed {
+            let section = Section::parse(&Source::new(&text.name, &text.text))?;
+            parsed.push((text, section));
+        }
+        if change.complete {
+            *self = Self::new();
+        }
+        for name in &change.removed {
+            self.remove(name);
+        }
+        for (text, _) in &parsed {
+            self.remove(&text.name);
+        }
+        for (text, section) in parsed {
+            self.insert(text, section);
+        }
+        self.revision = change.revision;
+        self.retention = self.longest();
+        Ok(true)
+    }
+
+    /// The service of a packet's destination.
+    pub fn by_destination(&self, address: &Address) -> Option<&Service> {
+        self.services.get(*self.addresses.get(address)?)
+    }
+
+    /// The service of a request's host name, in lower case.
+    pub fn by_host(&self, host: &str) -> Option<&Service> {
+        self.services.get(*self.hosts.get(host)?)
+    }
+
+    /// The destinations of packets, each with its service, in no particular order.
+    pub fn destinations(&self) -> impl Iterator<Item = (Address, &Service)> {
+        self.addresses
+            .iter()
+            .filter_map(|(address, key)| Some((*address, self.services.get(*key)?)))
+    }
+
+    /// Longest time for which a service's answers are kept for resends.
+    pub const fn retention(&self) -> Duration {
+        self.retention
+    }
+
+    /// Revision of the document in force; 0 before there is one.
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The service of that name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.get(*self.names.get(name)?)
+    }
+
+    /// Texts of the sections in force, in the order of their names.
+    pub fn texts(&self) -> impl Iterator<Item = &Text> {
+        self.sections.values().map(|entry| &entry.text)
+    }
+
+    fn insert(&mut self, text: Text, section: Section) {
+        let mut keys = Vec::with_capacity(section.services.len());
+        for service in section.services {
+            let hosts: Vec<_> = service
+                .hosts
+                .iter()
+                .map(|host| host.to_ascii_lowercase())
+                .collect();
+            let (address, name) = (service.address, service.name.clone());
+            let key = self.services.insert(service);
+            self.names.insert(name, key);
+            if let Some(address) = address {
+                self.addresses.insert(address, key);
+            }
+            for host in hosts {
+                self.hosts.insert(host.into(), key);
+            }
+            keys.push(key);
+        }
+        let entry = Entry {
+            keys: keys.into(),
+            text,
+        };
+        self.sections.insert(entry.text.name.clone(), entry);
+    }
+
+    fn longest(&self) -> Duration {
+        let services = self.services.values();
+        let longest = services.map(|service| service.requests.keep_ms).max();
+        Duration::from_millis(longest.unwrap_or(KEEP_MS))
+    }
+
+    fn remove(&mut self, section: &str) {
+        let Some(entry) = self.sections.remove(section) else {
+            return;
+        };
+        for key in entry.keys {
+            let Some(service) = self.services.remove(key) else {
+                continue;
+            };
+            self.names.remove(&service.name);
+            if let Some(address) = service.address {
+                self.addresses.remove(&address);
+            }
+            for host in &service.hosts {
+                self.hosts.remove(host.to_ascii_lowercase().as_str());
+            }
+        }
+    }
+}
