--- a/crates/daemon/src/inner.rs
+++ b/crates/daemon/src/inner.rs
@@ -24,7 +24,8 @@
     LogMessage,
     Outcome,
     PastVersion,
-    Proposal, //
+    Proposal,
+    Status, //
 };
 
 use crate::{
@@ -32,7 +33,8 @@
     convert_claims,
     node::Node,
     proposals,
-    serving, //
+    serving,
+    status, //
 };
 
 /// Answers other instances' calls.
@@ -109,4 +111,8 @@
         let replica = self.node.replica.as_ref();
         replica.is_some_and(|replica| replica.borrow().update(0).is_none())
     }
+
+    async fn status(self, _: Context) -> Status {
+        status::page(&self.node)
+    }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -14,7 +14,10 @@
 };
 
 use compio::net::UdpSocket;
-use directory::Directory;
+use directory::{
+    Directory,
+    Relay, //
+};
 use event_listener::Event;
 use membership::Members;
 use settings::Settings;
@@ -26,6 +29,7 @@
     claims::Claims,
     configuration::Configuration,
     connections::Connections,
+    convert_member,
     error::Error,
     metrics::Metrics,
     replica::Replica,
@@ -60,6 +64,8 @@
     pub members: RefCell<Members>,
     /// The metrics.
     pub metrics: Metrics,
+    /// What passes announcements on.
+    pub relay: RefCell<Relay>,
     /// The replica of the configuration; stores only.
     pub replica: Option<RefCell<Replica>>,
     /// The steering of flows.
@@ -91,6 +97,16 @@
         };
         let incarnation = epoch_millis();
         let router = Router::new(&settings.instance, incarnation);
+        let own = wire::Instance {
+            addresses,
+            centre: settings.instance.centre.clone(),
+            incarnation,
+            name: settings.instance.name.clone(),
+            refutation: 0,
+            store: replica.is_some(),
+        };
+        let own = convert_member::instance(own);
+        let members = Members::new(own, &settings.seeds, rand::random());
         let node = Self {
             addresses,
             auth: Auth::open(&settings)?,
@@ -101,8 +117,9 @@
             directory: RefCell::new(Directory::new()),
             dispatch: RefCell::new(Services::new()),
             incarnation,
-            members: RefCell::new(Members::new(&settings.instance.name)),
+            members: RefCell::new(members),
             metrics: Metrics::new(),
+            relay: RefCell::new(Relay::new()),
             replica,
             router: RefCell::new(router),
             settings,
@@ -119,15 +136,9 @@
         self.start.elapsed()
     }
 
-    /// The instance as its heartbeats describe it.
+    /// The instance as others are told of it.
     pub fn describe(&self) -> wire::Instance {
-        wire::Instance {
-            addresses: self.addresses,
-            centre: self.settings.instance.centre.clone(),
-            incarnation: self.incarnation,
-            name: self.settings.instance.name.clone(),
-            store: self.replica.is_some(),
-        }
+        convert_member::described(self.members.borrow().own())
     }
 
     /// Whether the instance can serve: it has a document in force that a quorum of the stores
--- /dev/null
+++ b/crates/daemon/tests/endpoints_failures.rs
@@ -0,0 +1,172 @@
+//! Endpoints that drain, die and come back under another service, as entries see them.
+
+use std::{
+    net::SocketAddr,
+    thread,
+    time::Duration, //
+};
+
+use serde_json::Value;
+use standin::{
+    Announcer,
+    Cluster,
+    Signal,
+    call, //
+};
+
+/// Time between two announcements.
+const INTERVAL: Duration = Duration::from_millis(200);
+
+/// Longer than an endpoint gets new work after its last announcement.
+const SILENCE: Duration = Duration::from_secs(4);
+
+fn cluster() -> Cluster {
+    let cluster = Cluster::new()
+        .and_then(|cluster| cluster.with_store("store-1", "porto-a"))
+        .and_then(|cluster| cluster.with_entry("entry-1", "porto-a"))
+        .and_then(|cluster| cluster.with_entry("entry-2", "porto-a"))
+        .and_then(|cluster| cluster.with_entry("entry-3", "braga-a"))
+        .unwrap();
+    for entry in cluster.faces("admin") {
+        Cluster::await_page(entry, "/v1/status", |page| {
+            let list = page["instances"].as_array();
+            list.is_some_and(|list| list.len() == 3)
+        })
+        .unwrap();
+    }
+    cluster
+}
+
+fn announcer(name: &str, service: &str) -> Announcer {
+    Announcer::new(name, service, "127.0.0.1:9".parse().unwrap())
+}
+
+/// Announces until a page of each of the instances fulfils a condition.
+fn announce_until(
+    announcer: &mut Announcer,
+    to: SocketAddr,
+    instances: &[SocketAddr],
+    condition: impl Fn(&Value) -> bool,
+) {
+    for _ in 0..300 {
+        announcer.announce(to).unwrap();
+        let fulfilled = instances.iter().all(|instance| {
+            let answer = call(*instance, "GET /v1/status", &[], b"").unwrap();
+            condition(&serde_json::from_slice(&answer.body).unwrap())
+        });
+        if fulfilled {
+            return;
+        }
+        thread::sleep(INTERVAL);
+    }
+    panic!("the condition did not come about");
+}
+
+/// Looks at an entry that was resumed again and again: no endpoint may take new work there.
+fn assert_never_ready(entry: SocketAddr) {
+    for _ in 0..100 {
+        let answer = call(entry, "GET /v1/status", &[], b"").unwrap();
+        let page: Value = serde_json::from_slice(&answer.body).unwrap();
+        assert_eq!(count(&page, "ready"), 0, "{page}");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn count(page: &Value, field: &str) -> u64 {
+    let services = page["services"].as_array().unwrap();
+    let counts = services.iter().map(|service| &service[field]);
+    counts.filter_map(Value::as_u64).sum()
+}
+
+#[test]
+fn drain_uneven_updates() {
+    let cluster = cluster();
+    let faces = cluster.faces("admin");
+    let mut desk = announcer("desk-1", "booking-desk");
+    announce_until(&mut desk, faces[0], &faces, |page| {
+        count(page, "ready") == 1
+    });
+    cluster.entries[1].signal(Signal::STOP).unwrap();
+    desk.state = "draining".into();
+    announce_until(&mut desk, faces[0], &[faces[0], faces[2]], |page| {
+        count(page, "ready") == 0 && count(page, "draining") == 1
+    });
+    thread::sleep(SILENCE);
+    cluster.entries[1].signal(Signal::CONT).unwrap();
+    assert_never_ready(faces[1]);
+}
+
+#[test]
+fn resume_waiting_announcements() {
+    let cluster = cluster();
+    let faces = cluster.faces("admin");
+    let mut desk = announcer("desk-1", "booking-desk");
+    announce_until(&mut desk, faces[0], &faces, |page| {
+        count(page, "ready") == 1
+    });
+    cluster.entries[1].signal(Signal::STOP).unwrap();
+    // These wait at the frozen entry's socket.
+    for _ in 0..10 {
+        desk.announce(faces[0]).unwrap();
+        thread::sleep(INTERVAL);
+    }
+    thread::sleep(SILENCE);
+    cluster.entries[1].signal(Signal::CONT).unwrap();
+    assert_never_ready(faces[1]);
+}
+
+#[test]
+fn silence_on_cut_off_entry() {
+    let cluster = cluster();
+    let faces = cluster.faces("admin");
+    let mut desk = announcer("desk-1", "booking-desk");
+    announce_until(&mut desk, faces[0], &faces, |page| {
+        count(page, "ready") == 1
+    });
+    cluster.entries[0].signal(Signal::STOP).unwrap();
+    for entry in [faces[1], faces[2]] {
+        let page = Cluster::await_page(entry, "/v1/status", |page| count(page, "ready") == 0);
+        let page = page.unwrap();
+        assert_eq!((count(&page, "stale"), &page["endpoints"]), (1, &1.into()));
+    }
+    cluster.entries[0].signal(Signal::CONT).unwrap();
+}
+
+#[test]
+fn endpoint_dead() {
+    let cluster = cluster();
+    let faces = cluster.faces("admin");
+    let mut desk = announcer("desk-1", "booking-desk");
+    announce_until(&mut desk, faces[2], &faces, |page| {
+        count(page, "ready") == 1
+    });
+    cluster.await_endpoints(0).unwrap();
+}
+
+#[test]
+fn address_of_another_service() {
+    let cluster = cluster();
+    let faces = cluster.faces("admin");
+    let mut desk = announcer("desk-1", "booking-desk");
+    announce_until(&mut desk, faces[0], &faces, |page| {
+        count(page, "ready") == 1
+    });
+    let mut updates = announcer("updates-1", "booking-updates");
+    for entry in &faces {
+        let refused = updates.announce(*entry).unwrap_err().to_string();
+        assert!(refused.contains("4003"), "{refused}");
+    }
+    for _ in 0..300 {
+        let taken = faces.iter().all(|entry| updates.announce(*entry).is_ok());
+        let answer = call(faces[1], "GET /v1/status", &[], b"").unwrap();
+        let page: Value = serde_json::from_slice(&answer.body).unwrap();
+        let used = page["services"].as_array().unwrap().iter();
+        let used = used.filter(|service| service["ready"] == 1);
+        assert!(used.count() <= 1);
+        if taken && count(&page, "ready") == 1 && page["services"][0]["name"] == "booking-updates" {
+            return;
+        }
+        thread::sleep(INTERVAL);
+    }
+    panic!("the address was not used again");
+}
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -23,6 +23,7 @@
         LogMessage,
         Proposal, //
     },
+    status::Status,
     trail::{
         AuditLine,
         AuditQuery,
@@ -132,4 +133,7 @@
 
     /// Whether no document has ever been in force; stores only.
     async fn unused() -> bool;
+
+    /// Describes the instance.
+    async fn status() -> Status;
 }
