--- a/crates/steering/src/flows.rs
+++ b/crates/steering/src/flows.rs
@@ -71,6 +71,12 @@
             next.epoch = 0;
             next.holder = 0;
         }
+        if next.stage == record.stage {
+            if next.seen != record.seen {
+                self.table.rewrite(next);
+            }
+            return next;
+        }
         match self.remember(next) {
             Ok(()) => next,
             Err(Full) => record,
@@ -144,6 +150,10 @@
         if !view.owns(record.flow) && missing.is_some() && !view.leaving() {
             next.stage = Stage::Cached;
         }
+        if next.stage == record.stage {
+            self.table.rewrite(next);
+            return missing.map(|peer| peer.id);
+        }
         // A record that leaves its area may find no room in the other; it stays as it is then.
         let _kept = self.remember(next);
         missing.map(|peer| peer.id)
--- a/crates/steering/src/table.rs
+++ b/crates/steering/src/table.rs
@@ -112,6 +112,13 @@
         Ok([old, evicted])
     }
 
+    /// Replaces the record of a flow by another one of the same stage.
+    pub fn rewrite(&mut self, record: Record) {
+        if let Some(place) = self.place(record.flow) {
+            self.write(place, Some(record));
+        }
+    }
+
     /// Removes a flow.
     pub fn remove(&mut self, flow: FlowId) -> Option<Record> {
         let records = &self.records;
--- a/crates/steering/tests/driver/mod.rs
+++ b/crates/steering/tests/driver/mod.rs
@@ -17,6 +17,7 @@
     Action,
     Arrival,
     Copied,
+    Endpoint,
     EndpointId,
     InstanceId,
     Peer,
@@ -46,6 +47,8 @@
 #[derive(Clone, Debug)]
 pub struct Entry<S> {
     pub centre: u64,
+    /// What the machine was last told of.
+    endpoints: Vec<Endpoint>,
     pub frozen: bool,
     pub id: InstanceId,
     pub incarnation: u64,
@@ -113,6 +116,7 @@
         let name: Box<str> = format!("entry-{index}").into();
         let mut entry = Entry {
             centre,
+            endpoints: Vec::new(),
             frozen: false,
             id: InstanceId::new(&name),
             incarnation: 1,
@@ -123,6 +127,7 @@
         };
         let endpoints = self.world.endpoints(self.now, self.now);
         entry.machine.endpoints(self.now, &endpoints);
+        entry.endpoints = endpoints;
         self.entries.push(entry);
         self.announce(Duration::ZERO);
         index
@@ -137,6 +142,7 @@
         let own = own(entry.centre, &entry.name, entry.incarnation);
         entry.machine = (self.make)(now, own, index as u64 + 100);
         entry.machine.endpoints(now, &endpoints);
+        entry.endpoints = endpoints;
         entry.up = true;
         entry.frozen = false;
         self.announce(Duration::ZERO);
@@ -289,7 +295,10 @@
             }
             let seen = self.now.saturating_sub(entry.lag);
             let endpoints = self.world.endpoints(self.now, seen);
-            entry.machine.endpoints(self.now, &endpoints);
+            if endpoints != entry.endpoints {
+                entry.machine.endpoints(self.now, &endpoints);
+                entry.endpoints = endpoints;
+            }
             let peers = self.world.peers.iter().rev();
             let mut known = peers.filter(|(time, _)| *time <= seen);
             if let Some(peers) = known.find_map(|(_, peers)| peers.get(index)) {
