--- a/crates/daemon/src/fabric.rs
+++ b/crates/daemon/src/fabric.rs
@@ -108,7 +108,7 @@
     scratch: &mut Vec<u8>,
 ) -> Result<Option<Step>, Code> {
     let mut router = node.router.borrow_mut();
-    let entry = router.entry(from).ok_or(Code::PacketEncapsulation)?;
+    let entry = router.heard(from).ok_or(Code::PacketEncapsulation)?;
     match FlowDatagram::decode(datagram).map_err(|error| error.code())? {
         FlowDatagram::Copies(copies) => {
             let copies = convert::copies(&copies);
