--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -39,6 +39,7 @@
 mod pending;
 mod proposals;
 mod published;
+mod reach;
 mod refusal;
 mod refused;
 mod replica;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -58,8 +58,6 @@
     pub directory: RefCell<Directory>,
     /// The requests that run.
     pub dispatch: RefCell<Services>,
-    /// Grows with each start of the process.
-    pub incarnation: u64,
     /// The other instances.
     pub members: RefCell<Members>,
     /// The metrics.
@@ -116,7 +114,6 @@
             connections: Connections::new(),
             directory: RefCell::new(Directory::new()),
             dispatch: RefCell::new(Services::new()),
-            incarnation,
             members: RefCell::new(members),
             metrics: Metrics::new(),
             relay: RefCell::new(Relay::new()),
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -7,6 +7,7 @@
 };
 
 use codes::Code;
+use membership::Standing;
 use settings::Instance;
 use steering::{
     Action,
@@ -24,7 +25,10 @@
     Steer, //
 };
 
-use crate::node::Node;
+use crate::{
+    node::Node,
+    reach::Reach, //
+};
 
 /// Flows that an instance remembers at most.
 const FLOWS: usize = 500_000;
@@ -42,6 +46,8 @@
     pub machine: Owners,
     /// Revision of the document and generation of the directory that the rest was made from.
     made: (u64, u64),
+    /// Which entries answer.
+    reach: Reach,
     services: HashMap<steering::Destination, ServiceId>,
 }
 
@@ -61,6 +67,7 @@
             faces: HashMap::new(),
             machine: Owners::new(Duration::ZERO, own, FLOWS, rand::random()),
             made: (0, 0),
+            reach: Reach::default(),
             services: HashMap::new(),
         }
     }
@@ -83,7 +90,13 @@
             self.refresh(node);
         }
         let arrival = self.arrival(datagram)?;
-        Ok(self.machine.packet(node.now(), &arrival))
+        let action = self.machine.packet(node.now(), &arrival);
+        if let Action::Pass(to, header) = action
+            && header.returns
+        {
+            self.reach.asked(node.now(), to);
+        }
+        Ok(action)
     }
 
     /// Decides on a packet that another entry handed over.
@@ -105,9 +118,11 @@
         Ok(self.machine.handed(node.now(), from, &arrival, header))
     }
 
-    /// The entry that sends from an address.
-    pub fn entry(&self, address: SocketAddr) -> Option<InstanceId> {
-        self.entries.get(&address).copied()
+    /// The entry that sent a datagram from an address.
+    pub fn heard(&mut self, address: SocketAddr) -> Option<InstanceId> {
+        let entry = self.entries.get(&address).copied()?;
+        self.reach.heard(entry);
+        Some(entry)
     }
 
     /// Where an entry takes packets.
@@ -135,20 +150,24 @@
         let members = node.members.borrow();
         let entries = || {
             members
-                .iter()
-                .filter_map(|member| Some((member, member.fabric?)))
+                .all()
+                .filter(|member| member.standing != Standing::Dead)
+                .filter_map(|member| Some((member, member.instance.fabric?)))
         };
         self.faces = entries()
-            .map(|(member, fabric)| (InstanceId::new(&member.name), fabric))
+            .map(|(member, fabric)| (InstanceId::new(&member.instance.name), fabric))
             .collect();
         self.entries = self.faces.iter().map(|(id, face)| (*face, *id)).collect();
         let peers: Vec<_> = entries()
             .map(|(member, _)| Peer {
-                centre: centre(&member.centre),
-                id: InstanceId::new(&member.name),
-                incarnation: member.incarnation,
-                leaving: false,
-                reachable: true,
+                centre: centre(&member.instance.centre),
+                id: InstanceId::new(&member.instance.name),
+                incarnation: member.instance.incarnation,
+                leaving: member.standing == Standing::Left,
+                reachable: member.standing != Standing::Suspected
+                    && self
+                        .reach
+                        .reaches(now, InstanceId::new(&member.instance.name)),
             })
             .collect();
         self.machine.peers(now, &peers);
@@ -163,18 +182,17 @@
         for (destination, service) in configuration.destinations() {
             let id = ServiceId::new(&service.name);
             self.services.insert(*destination, id);
-            for (_, endpoint) in directory.iter() {
-                if endpoint.service != service.name || !service.allows(&endpoint.name) {
+            for (key, endpoint) in directory.by_service(&service.name) {
+                if !service.allows(&endpoint.name) {
                     continue;
                 }
                 let known = EndpointId::new(&endpoint.name, &service.name, endpoint.incarnation);
                 self.addresses.insert(known, endpoint.address);
-                let ready = endpoint.state == directory::State::Ready;
                 endpoints.push(Endpoint {
                     id: known,
                     load: endpoint.load,
                     service: id,
-                    share: if ready { Endpoint::FULL_SHARE } else { 0 },
+                    share: directory.weight(now, key),
                     weight: u32::from(endpoint.slots)
                         .saturating_mul(service.weight(&endpoint.name)),
                 });
@@ -192,6 +210,5 @@
 /// What the router is made from changes when one of these does.
 fn made(node: &Node) -> (u64, u64) {
     let revision = node.configuration.borrow().revision();
-    let endpoints = node.directory.borrow().iter().count();
-    (revision, u64::try_from(endpoints).unwrap_or(u64::MAX))
+    (revision, node.directory.borrow().generation())
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -138,6 +138,7 @@
         let _ended = requests.await;
         node.claims.idle().await;
         let _ended = flows.await;
+        flows::linger(&node).await;
     }
     let _ended = admin.await;
     log::info!("stopped");
