--- a/crates/daemon/src/flows.rs
+++ b/crates/daemon/src/flows.rs
@@ -57,7 +57,11 @@
     }
     let complete = node.router.borrow().machine.left();
     log::info!(flows = flows, complete = complete; "flows handed over");
-    if flows > 0 {
+}
+
+/// Goes on forwarding for as long as other entries may still hand packets to this one.
+pub async fn linger(node: &Node) {
+    if !node.router.borrow().machine.is_empty() {
         compio::time::sleep(LINGER).await;
     }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -25,6 +25,7 @@
 use wire::Addresses;
 
 use crate::{
+    auth::Auth,
     claims::Claims,
     configuration::Configuration,
     connections::Connections,
@@ -34,6 +35,7 @@
     replica::Replica,
     router::Router,
     services::Services,
+    spread::Spread,
     stop::Stop, //
 };
 
@@ -42,6 +44,8 @@
 pub struct Node {
     /// Where the instance is reached.
     pub addresses: Addresses,
+    /// Who may call the operators' interface.
+    pub auth: Auth,
     /// Notified when the replica has changed.
     pub changed: Event,
     /// This entry's part in the claims on idempotency keys.
@@ -54,8 +58,6 @@
     pub directory: RefCell<Directory>,
     /// The requests that run.
     pub dispatch: RefCell<Services>,
-    /// Grows with each start of the process.
-    pub incarnation: u64,
     /// The other instances.
     pub members: RefCell<Members>,
     /// The metrics.
@@ -70,6 +72,8 @@
     pub settings: Settings,
     /// The socket for datagrams to other instances; set once at the start.
     pub socket: OnceCell<Rc<UdpSocket>>,
+    /// The document's way to this instance.
+    pub spread: Spread,
     /// The planned stop.
     pub stop: Stop,
     start: Instant,
@@ -103,13 +107,13 @@
         let members = Members::new(own, &settings.seeds, rand::random());
         let node = Self {
             addresses,
+            auth: Auth::open(&settings)?,
             changed: Event::new(),
             claims: Claims::new(&settings.instance.name),
             configuration: RefCell::new(Configuration::new()),
             connections: Connections::new(),
             directory: RefCell::new(Directory::new()),
             dispatch: RefCell::new(Services::new()),
-            incarnation,
             members: RefCell::new(members),
             metrics: Metrics::new(),
             relay: RefCell::new(Relay::new()),
@@ -117,6 +121,7 @@
             router: RefCell::new(router),
             settings,
             socket: OnceCell::new(),
+            spread: Spread::default(),
             start: Instant::now(),
             stop: Stop::default(),
         };
@@ -133,11 +138,13 @@
         convert_member::described(self.members.borrow().own())
     }
 
-    /// Whether the instance can serve: it has a document in force and is not stopping.
+    /// Whether the instance can serve: it has a document in force that a quorum of the stores
+    /// confirmed after its start, and is not stopping.
     pub fn ready(&self) -> bool {
         let stored = self.replica.is_some();
         let revision = self.configuration.borrow().revision();
-        (stored || revision > 0) && !self.stop.begun()
+        let confirmed = self.spread.follower.borrow().confirmed();
+        (stored || (confirmed && revision > 0)) && !self.stop.begun()
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,16 +10,17 @@
 mod datagram;
 mod endpoint;
 mod error;
+mod follow;
 mod handover;
 mod instance;
 mod log;
 mod server;
 mod status;
+mod trail;
 
 pub use crate::{
     call::{
         Edit,
-        Follow,
         Inner,
         InnerClient,
         InnerRequest,
@@ -52,6 +53,11 @@
         State, //
     },
     error::Error,
+    follow::{
+        Delta,
+        Follow,
+        Followed, //
+    },
     handover::{
         CopiedFlows,
         FlowDatagram,
@@ -74,7 +80,10 @@
         Proposal,
         StoreAddress, //
     },
-    server::serve,
+    server::{
+        IDLE_TIMEOUT,
+        serve, //
+    },
     status::{
         MemberStatus,
         Overview,
@@ -82,4 +91,9 @@
         ServiceStatus,
         Status, //
     },
+    trail::{
+        AuditLine,
+        AuditQuery,
+        PastVersion, //
+    },
 };
