--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -7,10 +7,7 @@
 };
 
 use codes::Code;
-use directory::{
-    EndpointKey,
-    State, //
-};
+use directory::EndpointKey;
 use dispatch::{
     Action,
     Candidate,
@@ -178,13 +175,10 @@
     let configuration = node.configuration.borrow();
     let service = configuration.service(name)?;
     let directory = node.directory.borrow();
+    let now = node.now();
     let candidates = directory
-        .iter()
-        .filter(|(_, endpoint)| {
-            endpoint.service == service.name
-                && endpoint.state == State::Ready
-                && service.allows(&endpoint.name)
-        })
+        .by_service(&service.name)
+        .filter(|(key, endpoint)| directory.takes(now, *key) && service.allows(&endpoint.name))
         .map(|(key, endpoint)| Candidate {
             key,
             reported: endpoint.load,
--- a/crates/daemon/tests/endpoints_failures.rs
+++ b/crates/daemon/tests/endpoints_failures.rs
@@ -20,6 +20,16 @@
 /// Longer than an endpoint gets new work after its last announcement.
 const SILENCE: Duration = Duration::from_secs(4);
 
+const SECTION: &str = r#"
+team = "booking"
+
+[[service]]
+name = "booking-desk"
+mode = "requests"
+hosts = ["booking.example"]
+endpoints = ["desk-*"]
+"#;
+
 fn cluster() -> Cluster {
     let cluster = Cluster::new()
         .and_then(|cluster| cluster.with_store("store-1", "porto-a"))
@@ -100,6 +110,8 @@
 fn resume_waiting_announcements() {
     let cluster = cluster();
     let faces = cluster.faces("admin");
+    Cluster::edit(faces[0], "e1", "booking", 0, SECTION).unwrap();
+    cluster.await_revision(1).unwrap();
     let mut desk = announcer("desk-1", "booking-desk");
     announce_until(&mut desk, faces[0], &faces, |page| {
         count(page, "ready") == 1
@@ -112,6 +124,10 @@
     }
     thread::sleep(SILENCE);
     cluster.entries[1].signal(Signal::CONT).unwrap();
+    // Nothing listens at the endpoint's address: code 3007 would show a request sent there.
+    let requests = cluster.entries[1].address("requests");
+    let answer = call(requests, "GET /", &[("host", "booking.example")], b"").unwrap();
+    assert_eq!(answer.header("mimosausher-code"), Some("3003"));
     assert_never_ready(faces[1]);
 }
 
