--- a/crates/daemon/src/convert_member.rs
+++ b/crates/daemon/src/convert_member.rs
@@ -17,6 +17,7 @@
         incarnation: from.incarnation,
         inner: from.addresses.inner,
         name: from.name,
+        refutation: from.refutation,
         requests: from.addresses.requests,
         store: from.store,
     }
@@ -34,6 +35,7 @@
         centre: from.centre.clone(),
         incarnation: from.incarnation,
         name: from.name.clone(),
+        refutation: from.refutation,
         store: from.store,
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admin;
 mod attempt;
+mod auth;
 mod claims;
 mod configuration;
 mod connections;
@@ -33,9 +34,11 @@
 mod members;
 mod metrics;
 mod node;
+mod operators;
 mod options;
 mod pending;
 mod proposals;
+mod published;
 mod reach;
 mod refusal;
 mod refused;
@@ -44,9 +47,12 @@
 mod router;
 mod run;
 mod services;
+mod serving;
 mod slot;
+mod spread;
 mod status;
 mod stop;
+mod stores;
 mod tracked;
 mod upload;
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,5 +1,10 @@
 //! The process's metrics, in the Prometheus text format.
 
+use std::{
+    cell::RefCell,
+    collections::BTreeMap, //
+};
+
 use codes::Code;
 use prometheus_client::{
     encoding::{
@@ -13,6 +18,7 @@
     },
     registry::Registry, //
 };
+use wire::Refusals;
 
 /// Bytes of the IPv4 and UDP headers of a datagram.
 const HEADER_BYTES: u64 = 28;
@@ -56,6 +62,7 @@
     pub requests: Family<ServiceLabel, Counter>,
     /// Revision of the document in force.
     pub revision: Gauge,
+    refused: RefCell<BTreeMap<u16, u64>>,
     registry: Registry,
 }
 
@@ -71,6 +78,7 @@
             instances: Gauge::default(),
             packets: Counter::default(),
             refusals: Family::default(),
+            refused: RefCell::default(),
             registry: Registry::with_prefix("mimosausher"),
             requests: Family::default(),
             revision: Gauge::default(),
@@ -81,10 +89,25 @@
 
     /// Counts a refusal.
     pub fn refuse(&self, code: Code) {
-        let label = CodeLabel {
-            code: code.number(),
-        };
-        self.refusals.get_or_create(&label).inc();
+        self.refuse_number(code.number());
+    }
+
+    /// Counts a refusal by the number of its code.
+    pub fn refuse_number(&self, code: u16) {
+        self.refusals.get_or_create(&CodeLabel { code }).inc();
+        *self.refused.borrow_mut().entry(code).or_default() += 1;
+    }
+
+    /// All refusals by code.
+    pub fn refused(&self) -> Vec<Refusals> {
+        let refused = self.refused.borrow();
+        refused
+            .iter()
+            .map(|(code, count)| Refusals {
+                code: *code,
+                count: *count,
+            })
+            .collect()
     }
 
     /// Counts a datagram to another instance.
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -164,8 +164,8 @@
             return false;
         }
         let known = self.members.get(&instance.name);
-        let order = (instance.incarnation, standing);
-        let later = known.is_none_or(|known| order > (known.instance.incarnation, known.standing));
+        let rank = order(&instance, standing);
+        let later = known.is_none_or(|known| rank > order(&known.instance, known.standing));
         let new = known.is_none();
         if !later || new && !self.wanted(&instance) {
             return false;
@@ -200,10 +200,15 @@
         }
     }
 
-    /// Answers a false rumour of the instance itself with a higher incarnation.
+    /// Answers a false rumour of the instance itself with a higher refutation.
     fn refute(&mut self, instance: &Instance, standing: Standing) {
-        let order = (instance.incarnation, standing);
-        if !self.leaving && order > (self.own.incarnation, Standing::Alive) {
+        if self.leaving || order(instance, standing) <= order(&self.own, Standing::Alive) {
+            return;
+        }
+        if instance.incarnation == self.own.incarnation {
+            self.own.refutation = instance.refutation + 1;
+        } else {
+            // An earlier run of this instance, whose clock was ahead.
             self.own.incarnation = instance.incarnation + 1;
         }
     }
@@ -244,3 +249,8 @@
         standing: member.standing,
     }
 }
+
+/// What decides which of two rumours of an instance holds: the greater one.
+const fn order(instance: &Instance, standing: Standing) -> (u64, u32, Standing) {
+    (instance.incarnation, instance.refutation, standing)
+}
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -13,12 +13,22 @@
         ClaimRecord,
         ClaimReply, //
     },
+    follow::{
+        Follow,
+        Followed, //
+    },
     log::{
         Decision,
         Identity,
         LogMessage,
         Proposal, //
     },
+    status::Status,
+    trail::{
+        AuditLine,
+        AuditQuery,
+        PastVersion, //
+    },
 };
 
 /// An operator's edit of one section.
@@ -34,6 +44,9 @@
     pub id: Box<str>,
     /// Name of the section.
     pub section: Box<str>,
+    /// The team whose key was used; none if every section may be edited.
+    #[serde(default)]
+    pub team: Option<Box<str>>,
     /// Text of the section after the edit; empty to remove the section.
     pub text: Box<str>,
 }
@@ -73,15 +86,7 @@
     pub version: u64,
 }
 
-/// What a follower asks for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
-pub struct Follow {
-    /// Revision that the follower has.
-    pub revision: u64,
-}
-
-/// A newer document for a follower.
+/// A whole document.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct Update {
@@ -100,11 +105,19 @@
     /// Hands over all claims to a new holder; none if this entry may have missed some.
     async fn claims() -> Option<Vec<ClaimRecord>>;
 
+    /// Reads the audit trail; none if this instance is no store or no quorum confirms it.
+    async fn audit(query: AuditQuery) -> Option<Vec<AuditLine>>;
+
     /// Accepts or refuses an edit; stores only.
     async fn edit(edit: Edit) -> Outcome;
 
-    /// Waits for a document newer than the follower's; none if there is none for a while.
-    async fn follow(follow: Follow) -> Option<Update>;
+    /// Waits for a document newer than the follower's, for a while; none if this instance is no
+    /// store.
+    async fn follow(follow: Follow) -> Option<Followed>;
+
+    /// Reads the last versions of a section, oldest first; none if this instance is no store or
+    /// no quorum confirms it.
+    async fn history(section: Box<str>) -> Option<Vec<PastVersion>>;
 
     /// Says which data folder the store has; none from other instances.
     async fn identify() -> Option<Identity>;
@@ -120,4 +133,7 @@
 
     /// Whether no document has ever been in force; stores only.
     async fn unused() -> bool;
+
+    /// Describes the instance.
+    async fn status() -> Status;
 }
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -27,7 +27,8 @@
 }
 
 /// Endpoints' announcements on their way between instances.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Batch {
     /// The receiver's last stamp and for how long the sender held it, in microseconds.
     pub echo: Option<(u64, u64)>,
@@ -40,7 +41,8 @@
 }
 
 /// An announcement with what is known of its age.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Report {
     /// Time since the endpoint sent it, in milliseconds; never less than the true one.
     pub age: u64,
@@ -54,7 +56,8 @@
 }
 
 /// How far announcements are passed on.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum Route {
     /// Not any further.
     Direct,
@@ -65,7 +68,8 @@
 }
 
 /// A message of membership.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Member {
     /// What it is for.
     pub body: Body,
@@ -76,7 +80,8 @@
 }
 
 /// What a message of membership is for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum Body {
     /// Answers the probe of that number.
     Ack(u64),
@@ -91,7 +96,8 @@
 }
 
 /// What is known of a member's presence.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Standing {
     /// It answers.
--- a/crates/wire/tests/datagram.rs
+++ b/crates/wire/tests/datagram.rs
@@ -27,6 +27,7 @@
         centre: "porto-a".into(),
         incarnation: 7,
         name: "porto-a-1".into(),
+        refutation: 2,
         store: false,
     }
 }
