Flows: an endpoint that an entry has not heard of yet is not taken for gone

Change: only an endpoint that was known alive here can be gone; a packet whose endpoint is unknown here returns to the entry that told of it. The new test add_uneven_updates fails without it (2 broken). The driver now loses a packet that an entry sends to an endpoint it has not heard of.

--- a/crates/steering/src/owners.rs
+++ b/crates/steering/src/owners.rs
@@ -130,7 +130,7 @@
                 let record = self.flows.progress(now, arrival, record);
                 self.bring(arrival, header, record, endpoint)
             }
-            None if self.view.settled(now) => {
+            None if self.view.settled(now) && self.flows.pool.gone(record.endpoint) => {
                 self.flows.forget(arrival.flow);
                 Action::Refuse(Code::FlowEndpointGone)
             }
@@ -208,16 +208,13 @@
         record: Record,
         endpoint: EndpointId,
     ) -> Move {
-        let first = self.view.first(arrival.flow);
         let own = self.view.own();
-        let task = Task::Tell(endpoint);
-        // The first owner was asked and did not know.
-        let ignorant = header.task == Task::Ask && header.visited.contains(first) && first != own;
-        header.task = task;
+        let ignorant = self.ignorant(arrival, &header);
+        header.task = Task::Tell(endpoint);
         if usize::from(header.hops) >= MAX_HOPS {
             return Action::Forward(endpoint);
         }
-        if ignorant && self.view.reachable(first) {
+        if let Some(first) = ignorant {
             return Action::Pass(first, self.step(header));
         }
         if record.owned()
@@ -233,6 +230,16 @@
         }
     }
 
+    /// The flow's first owner, if it was asked and did not know the flow.
+    fn ignorant(&self, arrival: &Arrival, header: &Header) -> Option<InstanceId> {
+        if header.task != Task::Ask || header.visited.is_empty() {
+            return None;
+        }
+        let first = self.view.first(arrival.flow);
+        let asked = header.visited.contains(first) && first != self.view.own();
+        (asked && self.view.reachable(first)).then_some(first)
+    }
+
     /// Hands a packet whose flow is unknown here to the next entry that may know it.
     fn pass_on(&self, arrival: &Arrival, mut header: Header) -> Option<Move> {
         if header.visited.len() >= MAX_ASKED || usize::from(header.hops) >= MAX_HOPS {
@@ -281,8 +288,11 @@
         }
         // Without room the flow is asked for again.
         let _kept = self.flows.remember(record);
-        if self.flows.pool.alive(key).is_none() && from != header.origin && header.origin == own {
-            return Action::Drop(Code::FlowEndpointGone);
+        if self.flows.pool.alive(key).is_none() && usize::from(header.hops) < MAX_HOPS {
+            // The sender has heard of the endpoint, and forwards the packet itself.
+            let mut header = self.step(header);
+            header.returns = false;
+            return Action::Pass(from, header);
         }
         self.bring(arrival, header, record, endpoint)
     }
--- a/crates/steering/src/pool.rs
+++ b/crates/steering/src/pool.rs
@@ -26,6 +26,8 @@
     /// Flows placed here for which this instance answers.
     held: u32,
     id: EndpointId,
+    /// Whether it was alive at any time.
+    met: bool,
     penalty: f64,
     /// Flow records that name the slot; it is free for another endpoint at 0.
     records: u32,
@@ -58,6 +60,7 @@
                 && let Some(slot) = self.slot(key)
             {
                 slot.endpoint = Some(*endpoint);
+                slot.met = true;
             }
         }
         self.refresh();
@@ -95,6 +98,7 @@
             endpoint: None,
             held: 0,
             id,
+            met: false,
             penalty: 1.0,
             records: 0,
             service,
@@ -123,6 +127,13 @@
         slot.endpoint.map(|endpoint| endpoint.id)
     }
 
+    /// Whether an endpoint was alive and is gone; one not heard of yet is not.
+    pub fn gone(&self, key: EndpointKey) -> bool {
+        self.slots
+            .get(usize::from(key.0))
+            .is_none_or(|slot| slot.met && slot.endpoint.is_none())
+    }
+
     /// Whether an endpoint may take new flows.
     pub fn accepts(&self, key: EndpointKey) -> bool {
         self.slots
--- a/crates/steering/tests/changes.rs
+++ b/crates/steering/tests/changes.rs
@@ -166,3 +166,15 @@
     driver.run(seconds(20));
     assert_eq!((driver.counts.broken, driver.counts.refused), (0, 0));
 }
+
+#[test]
+fn add_uneven_updates() {
+    let mut driver = cluster(8);
+    let service = driver.world.backends[0].service;
+    for _ in 0..4 {
+        let now = driver.now;
+        driver.world.add(now, service, 30);
+        driver.run(seconds(3));
+    }
+    assert_eq!((driver.counts.broken, driver.counts.refused), (0, 0));
+}
--- a/crates/steering/tests/driver/mod.rs
+++ b/crates/steering/tests/driver/mod.rs
@@ -233,6 +233,7 @@
         let end = loop {
             match action {
                 Action::Drop(_) => break End::Lost,
+                Action::Forward(endpoint) if !self.knows(at, endpoint) => break End::Lost,
                 Action::Forward(endpoint) => break End::Delivered(endpoint),
                 Action::Hint(endpoint, to) => {
                     self.hint(at, to, arrival, endpoint);
@@ -256,6 +257,12 @@
         end
     }
 
+    /// Whether an entry has heard of an endpoint, and so knows its address.
+    fn knows(&self, at: usize, id: EndpointId) -> bool {
+        let entry = &self.entries[at];
+        entry.endpoints.iter().any(|endpoint| endpoint.id == id)
+    }
+
     fn hint(&mut self, at: usize, to: InstanceId, arrival: &Arrival, endpoint: EndpointId) {
         self.counts.control_bytes += (UDP_BYTES + 26) as u64;
         let copy = Copied {
