--- /dev/null
+++ b/crates/daemon/tests/flows_changes.rs
@@ -0,0 +1,198 @@
+//! Sprayed flows through planned changes and failures, with real processes on loopback.
+
+use std::{
+    io,
+    net::{
+        Ipv4Addr,
+        SocketAddrV4,
+        UdpSocket, //
+    },
+    thread,
+    time::Duration,
+};
+
+use etherparse::{
+    PacketBuilder,
+    SlicedPacket,
+    TransportSlice, //
+};
+use standin::{
+    Announcer,
+    Caller,
+    Cluster,
+    Endpoint,
+    Fabric, //
+};
+
+const SECTION: &str = r#"
+team = "booking"
+
+[[service]]
+name = "booking-updates"
+mode = "flows"
+address = "203.0.113.10"
+port = 4000
+transport = "udp"
+endpoints = ["updates-*"]
+
+[[service]]
+name = "booking-streams"
+mode = "flows"
+address = "203.0.113.10"
+port = 4001
+transport = "tcp"
+endpoints = ["streams-*"]
+"#;
+
+const UDP: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(203, 0, 113, 10), 4000);
+
+/// Tries of a caller whose packet got no answer.
+const TRIES: usize = 8;
+
+fn cluster() -> Cluster {
+    let cluster = Cluster::new()
+        .and_then(|cluster| cluster.with_store("store-1", "porto-a"))
+        .and_then(|cluster| cluster.with_entry("entry-1", "porto-a"))
+        .and_then(|cluster| cluster.with_entry("entry-2", "porto-a"))
+        .and_then(|cluster| cluster.with_entry("entry-3", "braga-a"))
+        .unwrap();
+    let instance = cluster.entries[0].address("admin");
+    Cluster::edit(instance, "e1", "booking", 0, SECTION).unwrap();
+    cluster.await_revision(1).unwrap();
+    cluster
+}
+
+fn endpoint(cluster: &Cluster, name: &str, service: &str) -> Endpoint {
+    let endpoint = Endpoint::start(name, Duration::ZERO).unwrap();
+    let announcer = Announcer::new(name, service, endpoint.address);
+    endpoint.announce(announcer, cluster.faces("admin"));
+    endpoint
+}
+
+/// Sends a packet until an endpoint answers.
+fn exchange(caller: &Caller, fabric: &mut Fabric) -> String {
+    for _ in 0..TRIES {
+        if let Ok((_, name)) = caller.exchange(fabric) {
+            return name;
+        }
+    }
+    panic!("no answer");
+}
+
+fn open(fabric: &mut Fabric, count: usize) -> Vec<(Caller, String)> {
+    (0..count)
+        .map(|_| {
+            let caller = Caller::new(UDP).unwrap();
+            let name = exchange(&caller, fabric);
+            assert_eq!(exchange(&caller, fabric), name);
+            (caller, name)
+        })
+        .collect()
+}
+
+fn check(flows: &[(Caller, String)], fabric: &mut Fabric) {
+    for _ in 0..3 {
+        for (caller, name) in flows {
+            assert_eq!(&exchange(caller, fabric), name);
+        }
+    }
+}
+
+#[test]
+fn forward_replaced_endpoints() {
+    let cluster = cluster();
+    let first = endpoint(&cluster, "updates-1", "booking-updates");
+    cluster.await_endpoints(1).unwrap();
+    let mut fabric = Fabric::new(&cluster.faces("fabric")).unwrap();
+    let flows = open(&mut fabric, 12);
+    let _more: Vec<_> = ["updates-2", "updates-3", "updates-4"]
+        .iter()
+        .map(|name| endpoint(&cluster, name, "booking-updates"))
+        .collect();
+    cluster.await_endpoints(4).unwrap();
+    check(&flows, &mut fabric);
+    drop(first);
+}
+
+#[test]
+fn stop_rolling_restart() {
+    let mut cluster = cluster();
+    let _endpoints: Vec<_> = ["updates-1", "updates-2", "updates-3"]
+        .iter()
+        .map(|name| endpoint(&cluster, name, "booking-updates"))
+        .collect();
+    cluster.await_endpoints(3).unwrap();
+    let mut fabric = Fabric::new(&cluster.faces("fabric")).unwrap();
+    let flows = open(&mut fabric, 12);
+    for index in 0..3 {
+        let status = cluster.entries[index].stop().unwrap();
+        assert!(status.success());
+        let others: Vec<_> = (0..3)
+            .filter(|other| *other != index)
+            .map(|other| cluster.entries[other].address("fabric"))
+            .collect();
+        check(&flows, &mut Fabric::new(&others).unwrap());
+        cluster.entries[index].restart().unwrap();
+        cluster.await_revision(1).unwrap();
+        cluster.await_endpoints(3).unwrap();
+        check(&flows, &mut fabric);
+    }
+}
+
+#[test]
+fn kill_one_entry() {
+    let mut cluster = cluster();
+    let _endpoints: Vec<_> = ["updates-1", "updates-2", "updates-3"]
+        .iter()
+        .map(|name| endpoint(&cluster, name, "booking-updates"))
+        .collect();
+    cluster.await_endpoints(3).unwrap();
+    let mut fabric = Fabric::new(&cluster.faces("fabric")).unwrap();
+    let flows = open(&mut fabric, 12);
+    cluster.entries[0].kill().unwrap();
+    let left = cluster.faces("fabric").split_off(1);
+    check(&flows, &mut Fabric::new(&left).unwrap());
+}
+
+/// A segment from `port`, as the fabric hands it over.
+fn segment(port: u16, syn: bool) -> Vec<u8> {
+    let mut bytes = vec![0, 0, 0x08, 0x00];
+    let step = PacketBuilder::ipv4([127, 0, 0, 1], [203, 0, 113, 10], 64);
+    let step = step.tcp(port, 4001, 7, 1024);
+    let step = if syn { step.syn() } else { step.ack(99) };
+    step.write(&mut bytes, &[]).unwrap();
+    bytes
+}
+
+/// Sends segments of a flow to an entry until one comes back, and says whether it is a reset.
+fn answer(entry: std::net::SocketAddr, port: u16) -> io::Result<bool> {
+    let socket = UdpSocket::bind("127.0.0.1:0")?;
+    socket.set_read_timeout(Some(Duration::from_millis(500)))?;
+    let mut buffer = [0; 256];
+    for _ in 0..180 {
+        socket.send_to(&segment(port, false), entry)?;
+        if let Ok((length, _)) = socket.recv_from(&mut buffer) {
+            let sliced = SlicedPacket::from_ip(&buffer[4..length]).map_err(io::Error::other)?;
+            return Ok(matches!(sliced.transport, Some(TransportSlice::Tcp(tcp)) if tcp.rst()));
+        }
+    }
+    Err(io::ErrorKind::TimedOut.into())
+}
+
+#[test]
+fn forward_dead_endpoint() {
+    let cluster = cluster();
+    let stream = endpoint(&cluster, "streams-1", "booking-streams");
+    cluster.await_endpoints(1).unwrap();
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let entries = cluster.faces("fabric");
+    while stream.served().packets.len() < 4 {
+        socket.send_to(&segment(9, true), entries[0]).unwrap();
+        socket.send_to(&segment(9, false), entries[1]).unwrap();
+        thread::sleep(Duration::from_millis(100));
+    }
+    drop(stream);
+    for entry in entries {
+        assert!(answer(entry, 9).unwrap());
+    }
+}
