--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -11,9 +11,12 @@
     time::Duration, //
 };
 
-use compio::net::{
-    TcpListener,
-    TcpStream, //
+use compio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    tls::TlsAcceptor, //
 };
 use cyper_core::{
     CompioTimer,
@@ -40,6 +43,7 @@
 };
 
 use crate::{
+    auth::Peer,
     framing::HEADER_BYTES,
     guarded::Guarded,
     node::Node, //
@@ -66,6 +70,11 @@
     /// Body of the answers.
     type Body: Body<Data = hyper::body::Bytes, Error: Into<Box<dyn Error + Send + Sync>>> + 'static;
 
+    /// TLS of the face; none for plain HTTP.
+    fn acceptor(&self) -> Option<TlsAcceptor> {
+        None
+    }
+
     /// Answers one request.
     fn handle(
         &self,
@@ -80,6 +89,14 @@
     count: Cell<usize>,
 }
 
+impl Open {
+    /// Counts a connection out.
+    fn close(&self) {
+        self.count.set(self.count.get() - 1);
+        self.closed.notify(usize::MAX);
+    }
+}
+
 /// Accepts and answers until the planned stop; returns when all begun requests are answered.
 pub async fn serve<H: Handler + Clone + 'static>(
     node: Rc<Node>,
@@ -123,9 +140,10 @@
     handler: &H,
 ) {
     match accepted {
-        Ok((stream, _)) => {
+        Ok((stream, peer)) => {
             open.count.set(open.count.get() + 1);
-            let task = connection(node.clone(), open.clone(), stream, handler.clone());
+            let (node, open) = (node.clone(), open.clone());
+            let task = connection(node, open, stream, Peer(peer), handler.clone());
             compio::runtime::spawn(task).detach();
         }
         Err(error) => {
@@ -139,9 +157,11 @@
     node: Rc<Node>,
     open: Rc<Open>,
     stream: TcpStream,
+    peer: Peer,
     handler: H,
 ) {
-    let service = service_fn(|request| {
+    let service = service_fn(|mut request: Request<Incoming>| {
+        request.extensions_mut().insert(peer);
         let answer = handler.handle(request);
         let node = node.clone();
         async move {
@@ -153,11 +173,14 @@
             Ok::<_, Infallible>(answer)
         }
     });
+    let Some(stream) = secure(stream, handler.acceptor()).await else {
+        return open.close();
+    };
     let connection = Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(HEADER_TIMEOUT)
         .max_buf_size(HEADER_BYTES)
-        .serve_connection(Guarded::new(HyperStream::new_plain(stream)), service);
+        .serve_connection(Guarded::new(stream), service);
     let mut connection = pin!(connection);
     let result = match select(connection.as_mut(), pin!(leave(&node))).await {
         Either::Left((result, _)) => result,
@@ -169,6 +192,23 @@
     if let Err(error) = result {
         log::debug!("a connection ended early: {error}");
     }
-    open.count.set(open.count.get() - 1);
-    open.closed.notify(usize::MAX);
+    open.close();
+}
+
+/// The stream as the face's TLS makes it; none if the caller does not complete the handshake.
+async fn secure(
+    stream: TcpStream,
+    acceptor: Option<TlsAcceptor>,
+) -> Option<HyperStream<TcpStream>> {
+    let Some(acceptor) = acceptor else {
+        return Some(HyperStream::new_plain(stream));
+    };
+    match compio::time::timeout(HEADER_TIMEOUT, acceptor.accept(stream)).await {
+        Ok(Ok(stream)) => Some(HyperStream::new_tls(stream)),
+        Ok(Err(error)) => {
+            log::debug!("a caller did not complete the TLS handshake: {error}");
+            None
+        }
+        Err(_) => None,
+    }
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,5 +1,10 @@
 //! The process's metrics, in the Prometheus text format.
 
+use std::{
+    cell::RefCell,
+    collections::BTreeMap, //
+};
+
 use codes::Code;
 use prometheus_client::{
     encoding::{
@@ -13,16 +18,22 @@
     },
     registry::Registry, //
 };
+use wire::Refusals;
+
+/// Bytes of the IPv4 and UDP headers of a datagram.
+const HEADER_BYTES: u64 = 28;
 
 /// The label of counters by result code.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 pub struct CodeLabel {
     /// Number of the code.
     pub code: u16,
 }
 
 /// The label of counters by service.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 pub struct ServiceLabel {
     /// Name of the service.
     pub service: String,
@@ -33,8 +44,16 @@
 pub struct Metrics {
     /// Whether this entry knows all claims on its idempotency keys: 1 or 0.
     pub claims: Gauge,
+    /// Bytes of datagrams sent to other instances.
+    pub control: Counter,
     /// Endpoints under a lease.
     pub endpoints: Gauge,
+    /// Bytes of flows copied to other entries.
+    pub flow_bytes: Counter,
+    /// Flows that the instance remembers.
+    pub flows: Gauge,
+    /// Packets handed to other entries.
+    pub handovers: Counter,
     /// Other instances that are present.
     pub instances: Gauge,
     /// Packets forwarded to endpoints.
@@ -45,6 +64,7 @@
     pub requests: Family<ServiceLabel, Counter>,
     /// Revision of the document in force.
     pub revision: Gauge,
+    refused: RefCell<BTreeMap<u16, u64>>,
     registry: Registry,
 }
 
@@ -53,10 +73,15 @@
     pub fn new() -> Self {
         let mut metrics = Self {
             claims: Gauge::default(),
+            control: Counter::default(),
             endpoints: Gauge::default(),
+            flow_bytes: Counter::default(),
+            flows: Gauge::default(),
+            handovers: Counter::default(),
             instances: Gauge::default(),
             packets: Counter::default(),
             refusals: Family::default(),
+            refused: RefCell::default(),
             registry: Registry::with_prefix("mimosausher"),
             requests: Family::default(),
             revision: Gauge::default(),
@@ -67,10 +92,31 @@
 
     /// Counts a refusal.
     pub fn refuse(&self, code: Code) {
-        let label = CodeLabel {
-            code: code.number(),
-        };
-        self.refusals.get_or_create(&label).inc();
+        self.refuse_number(code.number());
+    }
+
+    /// Counts a refusal by the number of its code.
+    pub fn refuse_number(&self, code: u16) {
+        self.refusals.get_or_create(&CodeLabel { code }).inc();
+        *self.refused.borrow_mut().entry(code).or_default() += 1;
+    }
+
+    /// All refusals by code.
+    pub fn refused(&self) -> Vec<Refusals> {
+        let refused = self.refused.borrow();
+        refused
+            .iter()
+            .map(|(code, count)| Refusals {
+                code: *code,
+                count: *count,
+            })
+            .collect()
+    }
+
+    /// Counts a datagram to another instance.
+    pub fn sent(&self, length: usize) {
+        let length = u64::try_from(length).unwrap_or(u64::MAX);
+        self.control.inc_by(length.saturating_add(HEADER_BYTES));
     }
 
     /// All metrics as text.
@@ -89,11 +135,31 @@
             "Whether this entry knows all claims on its idempotency keys",
             self.claims.clone(),
         );
+        registry.register(
+            "control_bytes",
+            "Bytes of datagrams sent to other instances, with their IP and UDP headers",
+            self.control.clone(),
+        );
         registry.register(
             "endpoints",
             "Endpoints under a lease",
             self.endpoints.clone(),
         );
+        registry.register(
+            "flow_bytes",
+            "Bytes of flows copied to other entries",
+            self.flow_bytes.clone(),
+        );
+        registry.register(
+            "flows",
+            "Flows that the instance remembers",
+            self.flows.clone(),
+        );
+        registry.register(
+            "handovers",
+            "Packets handed to other entries",
+            self.handovers.clone(),
+        );
         registry.register(
             "instances",
             "Other instances that are present",
--- a/crates/daemon/src/refusal.rs
+++ b/crates/daemon/src/refusal.rs
@@ -26,7 +26,8 @@
 pub const RUN_HEADER: HeaderName = HeaderName::from_static("mimosausher-run");
 
 /// The body of a refusal.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Refusal {
     /// What is wrong, and where.
     pub advice: Box<str>,
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -26,6 +26,7 @@
     error::Error,
     exit::Exit,
     fabric,
+    flows,
     follower,
     http,
     inner,
@@ -123,17 +124,22 @@
     let asked = listeners.faces.is_some() && claims::ask_unused(&node).await;
     let callers = listeners.faces.map(|faces| {
         spawn(claims::maintain(node.clone(), asked)).detach();
-        spawn(fabric::forward(node.clone(), faces.fabric)).detach();
+        let fabric = Rc::new(faces.fabric);
+        spawn(fabric::forward(node.clone(), fabric.clone())).detach();
+        let flows = spawn(flows::tend(node.clone(), fabric));
         let handler = Requests::new(node.clone());
-        spawn(http::serve(node.clone(), faces.requests, handler))
+        let requests = spawn(http::serve(node.clone(), faces.requests, handler));
+        (flows, requests)
     });
     if let Ok(line) = serde_json::to_string(&node.addresses) {
         println!("{line}");
     }
     log::info!(name = &*node.settings.instance.name; "started");
-    if let Some(callers) = callers {
-        let _ended = callers.await;
+    if let Some((flows, requests)) = callers {
+        let _ended = requests.await;
         node.claims.idle().await;
+        let _ended = flows.await;
+        flows::linger(&node).await;
     }
     let _ended = admin.await;
     log::info!("stopped");
@@ -147,6 +153,7 @@
     }
     log::info!("stopping");
     node.stop.begin();
+    datagrams::leave(&node).await;
     // Later signals are taken too, so that none of them ends the process early.
     while compio::signal::unix::signal(SIGTERM).await.is_ok() {
         log::info!("already stopping");
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -13,16 +13,27 @@
         ClaimRecord,
         ClaimReply, //
     },
+    follow::{
+        Follow,
+        Followed, //
+    },
     log::{
         Decision,
         Identity,
         LogMessage,
         Proposal, //
     },
+    status::Status,
+    trail::{
+        AuditLine,
+        AuditQuery,
+        PastVersion, //
+    },
 };
 
 /// An operator's edit of one section.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Edit {
     /// Who edits.
@@ -33,12 +44,16 @@
     pub id: Box<str>,
     /// Name of the section.
     pub section: Box<str>,
+    /// The team whose key was used; none if every section may be edited.
+    #[serde(default)]
+    pub team: Option<Box<str>>,
     /// Text of the section after the edit; empty to remove the section.
     pub text: Box<str>,
 }
 
 /// What became of an edit.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Outcome {
     /// It is synced to disk and will be in force everywhere.
@@ -60,7 +75,8 @@
 }
 
 /// A section's text and version.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct SectionText {
     /// Name of the section.
     pub name: Box<str>,
@@ -70,15 +86,9 @@
     pub version: u64,
 }
 
-/// What a follower asks for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
-pub struct Follow {
-    /// Revision that the follower has.
-    pub revision: u64,
-}
-
-/// A newer document for a follower.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+/// A whole document.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Update {
     /// Revision of the document.
     pub revision: u64,
@@ -95,11 +105,19 @@
     /// Hands over all claims to a new holder; none if this entry may have missed some.
     async fn claims() -> Option<Vec<ClaimRecord>>;
 
+    /// Reads the audit trail; none if this instance is no store or no quorum confirms it.
+    async fn audit(query: AuditQuery) -> Option<Vec<AuditLine>>;
+
     /// Accepts or refuses an edit; stores only.
     async fn edit(edit: Edit) -> Outcome;
 
-    /// Waits for a document newer than the follower's; none if there is none for a while.
-    async fn follow(follow: Follow) -> Option<Update>;
+    /// Waits for a document newer than the follower's, for a while; none if this instance is no
+    /// store.
+    async fn follow(follow: Follow) -> Option<Followed>;
+
+    /// Reads the last versions of a section, oldest first; none if this instance is no store or
+    /// no quorum confirms it.
+    async fn history(section: Box<str>) -> Option<Vec<PastVersion>>;
 
     /// Says which data folder the store has; none from other instances.
     async fn identify() -> Option<Identity>;
@@ -113,6 +131,9 @@
     /// Takes in how the request of a claim ended; entries only.
     async fn settle(claim: Claim, end: ClaimEnd) -> bool;
 
+    /// Describes the instance.
+    async fn status() -> Status;
+
     /// Whether no document has ever been in force; none from an instance that cannot know.
     async fn unused() -> Option<bool>;
 }
--- a/crates/wire/src/instance.rs
+++ b/crates/wire/src/instance.rs
@@ -8,7 +8,8 @@
 };
 
 /// Where an instance is reached.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Addresses {
     /// Operators, announcements, health and metrics.
     pub admin: SocketAddr,
@@ -21,7 +22,8 @@
 }
 
 /// An instance, as heartbeats carry it.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Instance {
     /// Where it is reached.
     pub addresses: Addresses,
@@ -31,6 +33,8 @@
     pub incarnation: u64,
     /// Its name.
     pub name: Box<str>,
+    /// Grows with each false suspicion that it refutes.
+    pub refutation: u32,
     /// Whether it keeps a replica of the configuration.
     pub store: bool,
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,14 +10,17 @@
 mod datagram;
 mod endpoint;
 mod error;
+mod follow;
+mod handover;
 mod instance;
 mod log;
 mod server;
+mod status;
+mod trail;
 
 pub use crate::{
     call::{
         Edit,
-        Follow,
         Inner,
         InnerClient,
         InnerRequest,
@@ -36,14 +39,32 @@
     codec::Postcard,
     connection::connect,
     datagram::{
+        Batch,
+        Body,
         Datagram,
-        MAX_DATAGRAM_BYTES, //
+        MAX_DATAGRAM_BYTES,
+        Member,
+        Report,
+        Route,
+        Standing, //
     },
     endpoint::{
         Announcement,
         State, //
     },
     error::Error,
+    follow::{
+        Delta,
+        Follow,
+        Followed, //
+    },
+    handover::{
+        CopiedFlows,
+        FlowDatagram,
+        Handover,
+        MAX_HANDOVER_BYTES,
+        Task, //
+    },
     instance::{
         Addresses,
         Instance, //
@@ -59,5 +80,20 @@
         Proposal,
         StoreAddress, //
     },
-    server::serve, //
+    server::{
+        IDLE_TIMEOUT,
+        serve, //
+    },
+    status::{
+        MemberStatus,
+        Overview,
+        Refusals,
+        ServiceStatus,
+        Status, //
+    },
+    trail::{
+        AuditLine,
+        AuditQuery,
+        PastVersion, //
+    },
 };
