--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -121,8 +121,9 @@
     spawn(stop_on_signal(node.clone())).detach();
     let admin = http::serve(node.clone(), listeners.admin, Admin::new(node.clone()));
     let admin = spawn(admin);
+    let asked = listeners.faces.is_some() && claims::ask_unused(&node).await;
     let callers = listeners.faces.map(|faces| {
-        spawn(claims::maintain(node.clone())).detach();
+        spawn(claims::maintain(node.clone(), asked)).detach();
         let fabric = Rc::new(faces.fabric);
         spawn(fabric::forward(node.clone(), fabric.clone())).detach();
         let flows = spawn(flows::tend(node.clone(), fabric));
