--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -1,6 +1,9 @@
 //! The document in force at this instance.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
 
 use settings::{
     Document,
@@ -95,6 +98,18 @@
         self.services.get(self.hosts.get(host)?)
     }
 
+    /// The service of that name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.get(name)
+    }
+
+    /// Longest time for which a service's answers are kept for resends.
+    pub fn retention(&self) -> Duration {
+        let services = self.services.values();
+        let longest = services.map(|service| service.requests.keep_ms).max();
+        Duration::from_millis(longest.unwrap_or(settings::KEEP_MS))
+    }
+
     /// Revision of the document in force.
     pub const fn revision(&self) -> u64 {
         self.revision
--- a/crates/daemon/src/inner.rs
+++ b/crates/daemon/src/inner.rs
@@ -11,6 +11,10 @@
 use wire::{
     AuditLine,
     AuditQuery,
+    Claim,
+    ClaimEnd,
+    ClaimRecord,
+    ClaimReply,
     Decision,
     Edit,
     Follow,
@@ -24,6 +28,8 @@
 };
 
 use crate::{
+    claims,
+    convert_claims,
     node::Node,
     proposals,
     serving, //
@@ -54,6 +60,18 @@
         lines.filter(|_| serving::confirmed(&self.node))
     }
 
+    async fn beat(self, _: Context) {}
+
+    async fn claim(self, _: Context, claim: Claim) -> ClaimReply {
+        let claim = convert_claims::received(claim);
+        convert_claims::replied(claims::reply(&self.node, claim))
+    }
+
+    async fn claims(self, _: Context) -> Option<Vec<ClaimRecord>> {
+        let records = claims::records(&self.node)?;
+        Some(records.into_iter().map(convert_claims::recorded).collect())
+    }
+
     async fn edit(self, _: Context, edit: Edit) -> Outcome {
         proposals::edit(&self.node, edit).await
     }
@@ -71,6 +89,10 @@
         proposals::identity(&self.node)
     }
 
+    async fn latest(self, _: Context) -> Option<u64> {
+        serving::latest(&self.node)
+    }
+
     async fn log(self, _: Context, log: LogMessage) {
         match (&self.node.replica, Message::decode(&log.bytes)) {
             (Some(replica), Some(message)) => replica.borrow_mut().receive(log.address, message),
@@ -82,4 +104,15 @@
     async fn propose(self, _: Context, proposal: Proposal) -> Decision {
         proposals::decide(&self.node, proposal).await
     }
+
+    async fn settle(self, _: Context, claim: Claim, end: ClaimEnd) -> bool {
+        let claim = convert_claims::received(claim);
+        claims::settled(&self.node, &claim, convert_claims::ended(end));
+        true
+    }
+
+    async fn unused(self, _: Context) -> bool {
+        let replica = self.node.replica.as_ref();
+        replica.is_some_and(|replica| replica.borrow().update(0).is_none())
+    }
 }
--- /dev/null
+++ b/crates/daemon/src/keyed.rs
@@ -0,0 +1,118 @@
+//! Requests with an idempotency key: run at most once, answered again on a resend.
+
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use codes::{
+    Code,
+    Run, //
+};
+use dispatch::{
+    KeyHash,
+    Settled,
+    Verdict, //
+};
+use futures::channel::oneshot;
+use http_body_util::{
+    Either,
+    Full, //
+};
+use hyper::Response;
+
+use crate::{
+    attempt,
+    claims,
+    job::Job,
+    keeper::{
+        Answer,
+        Keeper, //
+    },
+    node::Node,
+    pending::Pending,
+    refused::Refused,
+    requests,
+    tracked::Tracked, //
+};
+
+/// Pause until the holders are asked again for a key that another claim holds.
+const JOIN_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers a request with an idempotency key.
+///
+/// # Errors
+///
+/// Why it is refused; the code says whether it may have run.
+pub async fn serve(
+    node: &Rc<Node>,
+    job: Job,
+    key: KeyHash,
+) -> Result<Response<requests::AnswerBody>, Refused> {
+    let claim = claims::new(node, key, job.print());
+    let began = node.now();
+    // A claim is forgotten after the retention time, so it has to be used well before.
+    let valid = node.configuration.borrow().retention() / 2;
+    loop {
+        let verdict = claims::claim(node, &claim).await;
+        let late = node.now().saturating_sub(began) >= valid;
+        let code = match verdict {
+            Verdict::Answered(bytes) => match Answer::response(&bytes) {
+                Some(answer) => return Ok(answer.map(|body| Either::Right(Full::new(body)))),
+                None => Code::KeyAnswered,
+            },
+            Verdict::Full => Code::RequestShed,
+            Verdict::Granted if late => Code::KeyUnknown,
+            Verdict::Granted => return run(node, job, claim).await,
+            Verdict::Held(id) => {
+                let wait = node.now() + JOIN_PAUSE < job.deadline;
+                if wait && claims::present(node, &id) {
+                    compio::time::sleep(JOIN_PAUSE).await;
+                    continue;
+                }
+                Code::KeyUnknown
+            }
+            Verdict::Mismatch => Code::KeyMismatch,
+            Verdict::Ran => Code::KeyAnswered,
+            Verdict::Unknown => Code::KeyUnknown,
+        };
+        claims::settle(node, &claim, Settled::NotRun);
+        return Err(code.into());
+    }
+}
+
+/// Runs the request of a granted claim in a task of its own: it goes on when its caller leaves,
+/// so that a resend gets the answer.
+async fn run(
+    node: &Rc<Node>,
+    job: Job,
+    claim: dispatch::Claim,
+) -> Result<Response<requests::AnswerBody>, Refused> {
+    let (sender, receiver) = oneshot::channel::<Result<Response<Tracked>, Refused>>();
+    let own = node.clone();
+    compio::runtime::spawn(async move {
+        let _pending = Pending::new(own.clone());
+        let result = attempt::run(&own, job).await;
+        let result = result.map(|mut response| {
+            crate::job::strip(response.headers_mut());
+            let (status, headers) = (response.status(), response.headers().clone());
+            let keeper = Keeper::new(own.clone(), claim.clone(), status, &headers);
+            response.map(|body| body.with_keeper(keeper).settled())
+        });
+        if let Err(refused) = &result {
+            let settled = match refused.code.run() {
+                Run::Not => Settled::NotRun,
+                Run::May | Run::Ran => Settled::Unknown,
+            };
+            claims::settle(&own, &claim, settled);
+        }
+        if let Err(Ok(response)) = sender.send(result) {
+            response.into_body().drain().await;
+        }
+    })
+    .detach();
+    match receiver.await {
+        Ok(result) => result.map(|response| response.map(Either::Left)),
+        Err(_) => Err(Code::KeyUnknown.into()),
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,11 +5,15 @@
 //! sockets, the disk and the clock.
 
 mod admin;
+mod attempt;
 mod auth;
+mod claims;
 mod configuration;
 mod connections;
 mod convert;
+mod convert_claims;
 mod datagrams;
+mod deadline;
 mod driver;
 mod error;
 mod exit;
@@ -18,6 +22,9 @@
 mod follower;
 mod http;
 mod inner;
+mod job;
+mod keeper;
+mod keyed;
 mod links;
 mod listeners;
 mod logs;
@@ -26,17 +33,22 @@
 mod node;
 mod operators;
 mod options;
+mod pending;
 mod proposals;
 mod published;
 mod refusal;
+mod refused;
 mod replica;
 mod requests;
 mod router;
 mod run;
+mod services;
 mod serving;
+mod slot;
 mod spread;
 mod stop;
 mod stores;
 mod tracked;
+mod upload;
 
 pub use crate::run::run;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -14,11 +14,7 @@
 };
 
 use compio::net::UdpSocket;
-use directory::{
-    Directory,
-    EndpointKey, //
-};
-use dispatch::Dispatch;
+use directory::Directory;
 use event_listener::Event;
 use membership::Members;
 use settings::Settings;
@@ -27,12 +23,14 @@
 
 use crate::{
     auth::Auth,
+    claims::Claims,
     configuration::Configuration,
     connections::Connections,
     error::Error,
     metrics::Metrics,
     replica::Replica,
     router::Router,
+    services::Services,
     spread::Spread,
     stop::Stop, //
 };
@@ -46,6 +44,8 @@
     pub auth: Auth,
     /// Notified when the replica has changed.
     pub changed: Event,
+    /// This entry's part in the claims on idempotency keys.
+    pub claims: Claims,
     /// The document in force.
     pub configuration: RefCell<Configuration>,
     /// Idle connections to endpoints.
@@ -53,7 +53,7 @@
     /// The endpoints.
     pub directory: RefCell<Directory>,
     /// The requests that run.
-    pub dispatch: RefCell<Dispatch<EndpointKey>>,
+    pub dispatch: RefCell<Services>,
     /// Grows with each start of the process.
     pub incarnation: u64,
     /// The other instances.
@@ -95,10 +95,11 @@
             addresses,
             auth: Auth::open(&settings)?,
             changed: Event::new(),
+            claims: Claims::new(&settings.instance.name),
             configuration: RefCell::new(Configuration::new()),
             connections: Connections::new(),
             directory: RefCell::new(Directory::new()),
-            dispatch: RefCell::new(Dispatch::new(rand::random())),
+            dispatch: RefCell::new(Services::new()),
             incarnation,
             members: RefCell::new(Members::new(&settings.instance.name)),
             metrics: Metrics::new(),
--- a/crates/daemon/src/refusal.rs
+++ b/crates/daemon/src/refusal.rs
@@ -1,5 +1,7 @@
 //! Refusals as they are answered over HTTP.
 
+use std::time::Duration;
+
 use codes::Code;
 use http_body_util::Full;
 use hyper::{
@@ -23,9 +25,6 @@
 /// Header that says whether the request may have run: `not`, `may` or `ran`.
 pub const RUN_HEADER: HeaderName = HeaderName::from_static("mimosausher-run");
 
-/// Time after which a refused caller may come back, in seconds.
-const RETRY_SECONDS: u16 = 1;
-
 /// The body of a refusal.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -38,6 +37,9 @@
     pub meaning: Box<str>,
     /// Whether the request may have run.
     pub run: codes::Run,
+    /// Time after which a caller may come back, in seconds.
+    #[serde(skip)]
+    seconds: u64,
 }
 
 impl Refusal {
@@ -48,9 +50,19 @@
             code: code.number(),
             meaning: code.meaning().into(),
             run: code.run(),
+            seconds: 1,
         }
     }
 
+    /// Sets when the caller may come back; rounded up to whole seconds.
+    pub const fn with_after(mut self, after: Duration) -> Self {
+        self.seconds = match after.subsec_nanos() {
+            0 => after.as_secs(),
+            _ => after.as_secs() + 1,
+        };
+        self
+    }
+
     /// The refusal as an HTTP response.
     pub fn response(&self, status: StatusCode) -> Response<Full<Bytes>> {
         let body = serde_json::to_vec(self).unwrap_or_default();
@@ -67,9 +79,20 @@
                 codes::Run::Ran => "ran",
             }),
         );
-        if status == StatusCode::SERVICE_UNAVAILABLE {
-            headers.insert(RETRY_AFTER, HeaderValue::from(RETRY_SECONDS));
+        if retried(status) {
+            headers.insert(RETRY_AFTER, HeaderValue::from(self.seconds));
         }
         response
     }
 }
+
+/// Whether a caller may come back after a status.
+const fn retried(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::BAD_GATEWAY
+            | StatusCode::CONFLICT
+            | StatusCode::GATEWAY_TIMEOUT
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,8 @@
 //! `tarpc` service in `postcard` frames, and single datagrams over UDP.
 
 mod call;
+mod claim;
+mod client;
 mod codec;
 mod connection;
 mod datagram;
@@ -28,6 +30,13 @@
         ServeInner,
         Update, //
     },
+    claim::{
+        Claim,
+        ClaimEnd,
+        ClaimRecord,
+        ClaimReply, //
+    },
+    client::Client,
     codec::Postcard,
     connection::connect,
     datagram::{
