--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -109,7 +109,7 @@
     Claim {
         id: ClaimId {
             claimant: node.settings.instance.name.clone(),
-            incarnation: node.incarnation,
+            incarnation: node.members.borrow().own().incarnation,
             serial,
         },
         key,
@@ -202,7 +202,7 @@
     let members = node.members.borrow();
     let own = Member {
         centre: node.settings.instance.centre.clone(),
-        incarnation: node.incarnation,
+        incarnation: node.members.borrow().own().incarnation,
         name: node.settings.instance.name.clone(),
     };
     let others = members
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -23,6 +23,7 @@
         LogMessage,
         Proposal, //
     },
+    status::Status,
     trail::{
         AuditLine,
         AuditQuery,
@@ -138,4 +139,7 @@
 
     /// Whether no document has ever been in force; stores only.
     async fn unused() -> bool;
+
+    /// Describes the instance.
+    async fn status() -> Status;
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,6 +16,7 @@
 mod instance;
 mod log;
 mod server;
+mod status;
 mod trail;
 
 pub use crate::{
@@ -40,8 +41,14 @@
     codec::Postcard,
     connection::connect,
     datagram::{
+        Batch,
+        Body,
         Datagram,
-        MAX_DATAGRAM_BYTES, //
+        MAX_DATAGRAM_BYTES,
+        Member,
+        Report,
+        Route,
+        Standing, //
     },
     endpoint::{
         Announcement,
@@ -79,6 +86,13 @@
         IDLE_TIMEOUT,
         serve, //
     },
+    status::{
+        MemberStatus,
+        Overview,
+        Refusals,
+        ServiceStatus,
+        Status, //
+    },
     trail::{
         AuditLine,
         AuditQuery,
