--- a/crates/cli/tests/keys.rs
+++ b/crates/cli/tests/keys.rs
@@ -2,7 +2,15 @@
 
 mod harness;
 
-use std::path::Path;
+use std::{
+    net::{
+        IpAddr,
+        Ipv4Addr,
+        SocketAddr,
+        UdpSocket, //
+    },
+    path::Path,
+};
 
 use harness::{
     SECTION,
@@ -123,6 +131,42 @@
         .run();
 }
 
+#[test]
+fn edit_other_machine() {
+    // A machine without a route has no address that stands for another machine's.
+    let socket = UdpSocket::bind("0.0.0.0:0").unwrap();
+    let own = socket
+        .connect("198.51.100.1:9")
+        .and_then(|()| socket.local_addr());
+    let Ok(own) = own else {
+        return;
+    };
+    let (cluster, _) = cluster();
+    let entry = entry(&cluster, "");
+    let settings = cluster.folder().join("entry-keys.toml");
+    let text = std::fs::read_to_string(settings).unwrap();
+    let text = text.replace("admin = \"127.0.0.1:0\"", "admin = \"0.0.0.0:0\"");
+    let text = text.replace("entry-keys", "entry-open");
+    drop(entry);
+    let entry = Daemon::start(cluster.folder(), "entry-open", &text).unwrap();
+    let port = entry.address("admin").port();
+    let section = file(&cluster, "section.toml", SECTION);
+    let apply = |ip: IpAddr| {
+        let test = Test::at(SocketAddr::new(ip, port));
+        test.args(["apply", "--section", "booking"]).path(&section)
+    };
+    apply(own.ip())
+        .status(4)
+        .stderr(
+            "5010 The key is missing or not known. an instance without keys takes changes from \
+             loopback addresses only",
+        )
+        .run();
+    apply(IpAddr::V4(Ipv4Addr::LOCALHOST))
+        .stdout("section booking: accepted as version 1, revision 1\n")
+        .run();
+}
+
 #[test]
 fn tls_untrusted_authority() {
     let (cluster, _) = cluster();
