--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -32,7 +32,7 @@
     stream::FuturesUnordered, //
 };
 use tarpc::context;
-use wire::InnerClient;
+use wire::Client;
 
 use crate::{
     convert_claims,
@@ -59,7 +59,7 @@
 /// This entry's part in the claims.
 #[derive(Debug)]
 pub struct Claims {
-    clients: RefCell<BTreeMap<SocketAddr, InnerClient>>,
+    clients: RefCell<BTreeMap<SocketAddr, Client>>,
     holder: RefCell<Holder>,
     opened: Cell<Option<Duration>>,
     ring: RefCell<Ring>,
@@ -332,7 +332,7 @@
     Some(member.inner)
 }
 
-async fn client(node: &Node, name: &str) -> Option<InnerClient> {
+async fn client(node: &Node, name: &str) -> Option<Client> {
     let address = address(node, name)?;
     connect(node, address).await
 }
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -25,9 +25,9 @@
 };
 use tarpc::context;
 use wire::{
+    Client, //
     Follow,
     Followed,
-    InnerClient, //
 };
 
 use crate::{
@@ -41,7 +41,7 @@
 
 /// The connection to a store; the number tells it from earlier ones to the same store.
 struct Upstream {
-    client: Rc<RefCell<Option<InnerClient>>>,
+    client: Rc<RefCell<Option<Client>>>,
     number: u64,
 }
 
@@ -174,7 +174,7 @@
     }
 }
 
-async fn call(client: &RefCell<Option<InnerClient>>, to: SocketAddr, ask: Ask) -> Option<Followed> {
+async fn call(client: &RefCell<Option<Client>>, to: SocketAddr, ask: Ask) -> Option<Followed> {
     let known = client.borrow().clone();
     let connected = match known {
         Some(connected) => connected,
@@ -183,6 +183,7 @@
     client.replace(Some(connected.clone()));
     let follow = Follow {
         brief: ask.brief,
+        fresh: ask.fresh,
         revision: ask.revision,
     };
     let call = connected.follow(context::current(), follow);
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -14,7 +14,7 @@
 use event_listener::Event;
 use tarpc::context;
 use wire::{
-    InnerClient,
+    Client,
     LogMessage, //
 };
 
@@ -85,7 +85,7 @@
 }
 
 /// Connects to a store; none if it does not answer in time.
-pub async fn connect(address: SocketAddr) -> Option<InnerClient> {
+pub async fn connect(address: SocketAddr) -> Option<Client> {
     match compio::time::timeout(CONNECT_TIMEOUT, wire::connect(address)).await {
         Ok(Ok(client)) => Some(client),
         Ok(Err(error)) => {
--- a/crates/daemon/src/stores.rs
+++ b/crates/daemon/src/stores.rs
@@ -15,8 +15,8 @@
 use wire::{
     AuditLine,
     AuditQuery,
+    Client,
     Edit,
-    InnerClient,
     Outcome,
     PastVersion, //
 };
@@ -59,7 +59,7 @@
 }
 
 /// Connects to a store; none if no connection is made in time.
-pub async fn connect(address: SocketAddr) -> Option<InnerClient> {
+pub async fn connect(address: SocketAddr) -> Option<Client> {
     match compio::time::timeout(CONNECT_TIMEOUT, wire::connect(address)).await {
         Ok(Ok(client)) => Some(client),
         Ok(Err(error)) => {
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -99,15 +99,18 @@
 /// Calls that an instance answers to other instances.
 #[tarpc::service]
 pub trait Inner {
+    /// Reads the audit trail; none if this instance is no store or no quorum confirms it.
+    async fn audit(query: AuditQuery) -> Option<Vec<AuditLine>>;
+
+    /// Answers at once, to show that the connection is alive.
+    async fn beat();
+
     /// Claims an idempotency key; entries only.
     async fn claim(claim: Claim) -> ClaimReply;
 
     /// Hands over all claims to a new holder; none if this entry may have missed some.
     async fn claims() -> Option<Vec<ClaimRecord>>;
 
-    /// Reads the audit trail; none if this instance is no store or no quorum confirms it.
-    async fn audit(query: AuditQuery) -> Option<Vec<AuditLine>>;
-
     /// Accepts or refuses an edit; stores only.
     async fn edit(edit: Edit) -> Outcome;
 
@@ -122,6 +125,9 @@
     /// Says which data folder the store has; none from other instances.
     async fn identify() -> Option<Identity>;
 
+    /// Says the latest accepted revision; none if this store does not lead, or can't tell.
+    async fn latest() -> Option<u64>;
+
     /// Takes a message of the replicated log; stores only.
     async fn log(message: LogMessage);
 
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -1,11 +1,15 @@
 //! The calling side of a connection between instances.
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    pin::pin, //
+};
 
 use compio::{
     io::compat::AsyncStream,
     net::TcpStream, //
 };
+use futures::future::select;
 use tarpc::{
     client::Config,
     serde_transport, //
@@ -20,11 +24,12 @@
 
 use crate::{
     call::InnerClient,
+    client::Client,
     codec::Postcard,
     error::Error, //
 };
 
-/// Connects to the instance at `address`.
+/// Connects to the instance at `address`; the connection is closed once it is silent.
 ///
 /// Runs on the current `compio` runtime; a `tokio` runtime must be entered for the timers that
 /// `tarpc` creates. These never fire, so that each call needs a timeout of its own.
@@ -32,17 +37,20 @@
 /// # Errors
 ///
 /// [`Error::Unreachable`] if no connection can be made.
-pub async fn connect(address: SocketAddr) -> Result<InnerClient, Error> {
+pub async fn connect(address: SocketAddr) -> Result<Client, Error> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(|cause| Error::Unreachable { address, cause })?;
     let io = AsyncStream::new(stream).compat();
     let framed = Framed::new(io, LengthDelimitedCodec::new());
     let transport = serde_transport::new(framed, Postcard::default());
-    let client = InnerClient::new(Config::default(), transport);
+    let new = InnerClient::new(Config::default(), transport);
+    let client = Client::new(new.client);
+    let watch = client.watch();
     compio::runtime::spawn(async move {
-        let _closed = client.dispatch.await;
+        // Whichever ends first, the connection is closed and its open calls fail.
+        let _closed = select(pin!(new.dispatch), pin!(watch)).await;
     })
     .detach();
-    Ok(client.client)
+    Ok(client)
 }
