--- /dev/null
+++ b/crates/store/tests/folder.rs
@@ -0,0 +1,204 @@
+//! The data folder: damage, loss and locking.
+
+use std::{
+    fs,
+    io::Write as _,
+    path::Path, //
+};
+
+use mimosausher_store::{
+    Ballot,
+    ClusterId,
+    Encoded,
+    Entry,
+    Error,
+    Folder,
+    Index,
+    Payload,
+    Position,
+    Record,
+    Saved,
+    StoreId,
+    Term, //
+};
+use tempfile::TempDir;
+
+fn position(index: u64) -> Position {
+    Position {
+        term: Term(1),
+        index: Index(index),
+    }
+}
+
+fn entry(index: u64) -> Record {
+    Record::Entry(Entry {
+        payload: Payload::Blank,
+        position: position(index),
+    })
+}
+
+fn ballot(term: u64) -> Record {
+    Record::Ballot(Ballot {
+        term: Term(term),
+        vote: Some(StoreId(9)),
+    })
+}
+
+fn open(path: &Path) -> Result<(Folder, Saved), Error> {
+    Folder::open(path, StoreId(5))
+}
+
+/// A folder with three synced batches, and the offsets where the first two of them end.
+fn filled() -> (TempDir, [u64; 2]) {
+    let folder = TempDir::new().unwrap();
+    let (mut files, saved) = open(folder.path()).unwrap();
+    assert_eq!(saved, Saved::default());
+    let log = folder.path().join("log");
+    files
+        .append(&[Record::Cluster(ClusterId(3)), ballot(1)])
+        .unwrap();
+    let first = fs::metadata(&log).unwrap().len();
+    files.append(&[entry(1), entry(2)]).unwrap();
+    let second = fs::metadata(&log).unwrap().len();
+    files.append(&[entry(3), ballot(2)]).unwrap();
+    (folder, [first, second])
+}
+
+fn change(path: &Path, offset: u64) {
+    let mut bytes = fs::read(path).unwrap();
+    bytes[offset as usize] ^= 1;
+    fs::write(path, bytes).unwrap();
+}
+
+#[test]
+fn open_held_records() {
+    let (folder, _) = filled();
+    let (files, saved) = Folder::open(folder.path(), StoreId(6)).unwrap();
+    assert_eq!(files.id(), StoreId(5));
+    assert_eq!(saved.ballot.term, Term(2));
+    assert_eq!(saved.cluster, Some(ClusterId(3)));
+    assert_eq!(saved.entries.len(), 3);
+}
+
+#[test]
+fn open_torn_tail() {
+    let (folder, [_, second]) = filled();
+    let log = folder.path().join("log");
+    let whole = fs::read(&log).unwrap();
+    for length in second as usize..whole.len() {
+        fs::write(&log, &whole[..length]).unwrap();
+        let (mut files, saved) = open(folder.path()).unwrap();
+        assert_eq!((saved.entries.len(), saved.ballot.term), (2, Term(1)));
+        files.append(&[entry(3)]).unwrap();
+        drop(files);
+        assert_eq!(open(folder.path()).unwrap().1.entries.len(), 3);
+    }
+}
+
+#[test]
+fn open_zeroed_tail() {
+    let (folder, _) = filled();
+    let log = folder.path().join("log");
+    let mut file = fs::OpenOptions::new().append(true).open(log).unwrap();
+    file.write_all(&[0; 100]).unwrap();
+    assert_eq!(open(folder.path()).unwrap().1.entries.len(), 3);
+}
+
+#[test]
+fn open_damaged_record() {
+    let (folder, [first, second]) = filled();
+    let log = folder.path().join("log");
+    let whole = fs::read(&log).unwrap();
+    for at in first..second {
+        fs::write(&log, &whole).unwrap();
+        change(&log, at);
+        match open(folder.path()) {
+            Err(Error::Damaged { offset, path }) => {
+                assert_eq!((offset, &path), (first, &log), "byte {at}");
+            }
+            other => panic!("byte {at}: {other:?}"),
+        }
+    }
+    let text = open(folder.path()).unwrap_err().to_string();
+    assert_eq!(text, format!("{log:?} is damaged at byte {first}"));
+}
+
+#[test]
+fn open_lost_file() {
+    for name in ["log", "store"] {
+        let (folder, _) = filled();
+        fs::remove_file(folder.path().join(name)).unwrap();
+        let error = open(folder.path()).unwrap_err();
+        assert!(matches!(error, Error::Damaged { .. }), "{name}: {error}");
+    }
+}
+
+#[test]
+fn open_emptied_log() {
+    let (folder, _) = filled();
+    fs::write(folder.path().join("log"), b"").unwrap();
+    let error = open(folder.path()).unwrap_err();
+    assert!(matches!(error, Error::Damaged { offset: 0, .. }));
+}
+
+#[test]
+fn open_other_format() {
+    let (folder, _) = filled();
+    change(&folder.path().join("log"), 7);
+    let error = open(folder.path()).unwrap_err();
+    assert!(matches!(error, Error::Damaged { offset: 0, .. }));
+}
+
+#[test]
+fn open_used_folder() {
+    let (folder, _) = filled();
+    let held = open(folder.path()).unwrap();
+    let error = open(folder.path()).unwrap_err();
+    assert!(matches!(error, Error::Locked { .. }));
+    drop(held);
+    open(folder.path()).unwrap();
+}
+
+#[test]
+fn replace_snapshot() {
+    let (folder, _) = filled();
+    let (mut files, mut saved) = open(folder.path()).unwrap();
+    saved.snapshot = Some(Encoded {
+        bytes: [1, 2, 3].into(),
+        position: position(2),
+    });
+    saved
+        .entries
+        .retain(|entry| entry.position.index > Index(2));
+    files.replace(&saved).unwrap();
+    files.append(&[entry(4)]).unwrap();
+    drop(files);
+    let (_, held) = open(folder.path()).unwrap();
+    assert_eq!(held.snapshot, saved.snapshot);
+    assert_eq!(held.ballot, saved.ballot);
+    assert_eq!(held.entries.len(), 2);
+    fs::remove_file(folder.path().join("snapshot")).unwrap();
+    let error = open(folder.path()).unwrap_err();
+    assert!(matches!(error, Error::Damaged { .. }), "{error}");
+}
+
+#[test]
+fn replace_interrupted() {
+    let (folder, _) = filled();
+    let (mut files, mut saved) = open(folder.path()).unwrap();
+    let log = folder.path().join("log");
+    let before = fs::read(&log).unwrap();
+    saved.snapshot = Some(Encoded {
+        bytes: [1, 2, 3].into(),
+        position: position(2),
+    });
+    files.replace(&saved).unwrap();
+    drop(files);
+    // The snapshot was put in place, the log was not.
+    fs::write(&log, before).unwrap();
+    fs::write(folder.path().join("log.new"), b"part").unwrap();
+    let (_, held) = open(folder.path()).unwrap();
+    assert_eq!(held.snapshot, saved.snapshot);
+    let indices: Vec<_> = held.entries.iter().map(|entry| entry.position).collect();
+    assert_eq!(indices, [position(3)]);
+}
