--- a/examples/standin/src/lib.rs
+++ b/examples/standin/src/lib.rs
@@ -10,6 +10,7 @@
 mod fabric;
 mod figure;
 mod fit;
+mod forwarder;
 mod http;
 
 pub use crate::{
@@ -31,6 +32,10 @@
     },
     figure::Figure,
     fit::Fit,
+    forwarder::{
+        Forwarder,
+        Passage, //
+    },
     http::{
         Answer,
         call, //
