--- a/crates/codes/src/lib.rs
+++ b/crates/codes/src/lib.rs
@@ -16,7 +16,8 @@
 };
 
 /// Whether the work that a result stands for may have been carried out.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Run {
     /// It may have run; only the endpoint or a later look can tell.
@@ -98,6 +99,7 @@
     KeyUnknown = 3010, May, "The idempotency key's outcome is not known.";
     KeyMismatch = 3011, Not, "The idempotency key was used for another request.";
     RequestTooLarge = 3012, Not, "The request's headers or body exceed the limit.";
+    KeyAnswered = 3013, Ran, "The idempotency key's request ran; its answer is not kept.";
     AnnouncementMalformed = 4001, Not, "The announcement is not valid JSON of the expected form.";
     AnnouncementStale = 4002, Not, "A later announcement of the endpoint is already known.";
     AnnouncementConflict = 4003, Not, "The address is still held by another endpoint.";
--- a/crates/daemon/src/inner.rs
+++ b/crates/daemon/src/inner.rs
@@ -10,6 +10,10 @@
 use store::Message;
 use tarpc::context::Context;
 use wire::{
+    Claim,
+    ClaimEnd,
+    ClaimRecord,
+    ClaimReply,
     Decision,
     Edit,
     Follow,
@@ -22,6 +26,8 @@
 };
 
 use crate::{
+    claims,
+    convert_claims,
     node::Node,
     proposals, //
 };
@@ -49,6 +55,16 @@
 }
 
 impl Inner for Service {
+    async fn claim(self, _: Context, claim: Claim) -> ClaimReply {
+        let claim = convert_claims::received(claim);
+        convert_claims::replied(claims::reply(&self.node, claim))
+    }
+
+    async fn claims(self, _: Context) -> Option<Vec<ClaimRecord>> {
+        let records = claims::records(&self.node)?;
+        Some(records.into_iter().map(convert_claims::recorded).collect())
+    }
+
     async fn edit(self, _: Context, edit: Edit) -> Outcome {
         proposals::edit(&self.node, edit).await
     }
@@ -79,4 +95,15 @@
     async fn propose(self, _: Context, proposal: Proposal) -> Decision {
         proposals::decide(&self.node, proposal).await
     }
+
+    async fn settle(self, _: Context, claim: Claim, end: ClaimEnd) -> bool {
+        let claim = convert_claims::received(claim);
+        claims::settled(&self.node, &claim, convert_claims::ended(end));
+        true
+    }
+
+    async fn unused(self, _: Context) -> bool {
+        let replica = self.node.replica.as_ref();
+        replica.is_some_and(|replica| replica.borrow().update(0).is_none())
+    }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,17 +5,25 @@
 //! sockets, the disk and the clock.
 
 mod admin;
+mod attempt;
+mod claims;
 mod configuration;
 mod connections;
 mod convert;
+mod convert_claims;
 mod datagrams;
+mod deadline;
 mod driver;
 mod error;
 mod exit;
 mod fabric;
+mod flows;
 mod follower;
 mod http;
 mod inner;
+mod job;
+mod keeper;
+mod keyed;
 mod links;
 mod listeners;
 mod logs;
@@ -23,12 +31,18 @@
 mod metrics;
 mod node;
 mod options;
+mod pending;
 mod proposals;
 mod refusal;
+mod refused;
 mod replica;
 mod requests;
+mod router;
 mod run;
+mod services;
+mod slot;
 mod stop;
 mod tracked;
+mod upload;
 
 pub use crate::run::run;
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -6,15 +6,24 @@
     Serialize, //
 };
 
-use crate::log::{
-    Decision,
-    Identity,
-    LogMessage,
-    Proposal, //
+use crate::{
+    claim::{
+        Claim,
+        ClaimEnd,
+        ClaimRecord,
+        ClaimReply, //
+    },
+    log::{
+        Decision,
+        Identity,
+        LogMessage,
+        Proposal, //
+    },
 };
 
 /// An operator's edit of one section.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Edit {
     /// Who edits.
@@ -30,7 +39,8 @@
 }
 
 /// What became of an edit.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Outcome {
     /// It is synced to disk and will be in force everywhere.
@@ -52,7 +62,8 @@
 }
 
 /// A section's text and version.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct SectionText {
     /// Name of the section.
     pub name: Box<str>,
@@ -63,14 +74,16 @@
 }
 
 /// What a follower asks for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Follow {
     /// Revision that the follower has.
     pub revision: u64,
 }
 
 /// A newer document for a follower.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Update {
     /// Revision of the document.
     pub revision: u64,
@@ -81,6 +94,12 @@
 /// Calls that an instance answers to other instances.
 #[tarpc::service]
 pub trait Inner {
+    /// Claims an idempotency key; entries only.
+    async fn claim(claim: Claim) -> ClaimReply;
+
+    /// Hands over all claims to a new holder; none if this entry may have missed some.
+    async fn claims() -> Option<Vec<ClaimRecord>>;
+
     /// Accepts or refuses an edit; stores only.
     async fn edit(edit: Edit) -> Outcome;
 
@@ -95,4 +114,10 @@
 
     /// Decides a request if this store leads, and refuses it otherwise.
     async fn propose(proposal: Proposal) -> Decision;
+
+    /// Takes in how the request of a claim ended; entries only.
+    async fn settle(claim: Claim, end: ClaimEnd) -> bool;
+
+    /// Whether no document has ever been in force; stores only.
+    async fn unused() -> bool;
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,11 +4,13 @@
 //! `tarpc` service in `postcard` frames, and single datagrams over UDP.
 
 mod call;
+mod claim;
 mod codec;
 mod connection;
 mod datagram;
 mod endpoint;
 mod error;
+mod handover;
 mod instance;
 mod log;
 mod server;
@@ -26,6 +28,12 @@
         ServeInner,
         Update, //
     },
+    claim::{
+        Claim,
+        ClaimEnd,
+        ClaimRecord,
+        ClaimReply, //
+    },
     codec::Postcard,
     connection::connect,
     datagram::{
@@ -37,6 +45,13 @@
         State, //
     },
     error::Error,
+    handover::{
+        CopiedFlows,
+        FlowDatagram,
+        Handover,
+        MAX_HANDOVER_BYTES,
+        Task, //
+    },
     instance::{
         Addresses,
         Instance, //
