Full disk: a store refuses with 5007, stays alive and goes on when there is space

Cause: two ways for a full disk to end the store. The signal for a file's largest size ended the process; and a log line that could not be written made the logger report that on the same full standard error, which panicked in the driver's task.

Failed try: the runtime's own signal future, which takes its handler back each time that it fires, so that a second signal ends the process.

--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -1,6 +1,7 @@
 //! The log: one JSON object a line on standard error.
 
 use flexi_logger::{
+    ErrorChannel,
     FlexiLoggerError,
     LogSpecification,
     Logger,
@@ -26,6 +27,8 @@
     }
     Logger::with(specification.build())
         .log_to_stderr()
+        // Its own messages would go to standard error too, and end the task if that is full.
+        .error_channel(ErrorChannel::DevNull)
         .format(json_format)
         .start()
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -4,7 +4,8 @@
     ffi::OsString,
     path::Path,
     process::ExitCode,
-    rc::Rc, //
+    rc::Rc,
+    sync::Arc, //
 };
 
 use compio::runtime::{
@@ -17,6 +18,10 @@
 };
 use miette::Report;
 use settings::Settings;
+use signal_hook::{
+    consts::SIGXFSZ,
+    flag, //
+};
 
 use crate::{
     admin::Admin,
@@ -114,6 +119,8 @@
     spawn(datagrams::receive(node.clone(), socket)).detach();
     spawn(datagrams::beat(node.clone())).detach();
     if let Some(folder) = folder {
+        // With a handler, a write behind a file's largest size fails and does not end the process.
+        flag::register(SIGXFSZ, Arc::default()).map_err(Error::Runtime)?;
         spawn(driver::run(node.clone(), folder)).detach();
     }
     spawn(inner::accept(node.clone(), listeners.calls)).detach();
--- a/examples/standin/src/daemon.rs
+++ b/examples/standin/src/daemon.rs
@@ -23,7 +23,10 @@
 
 use rustix::process::{
     Pid,
-    kill_process, //
+    Resource,
+    Rlimit,
+    kill_process,
+    prlimit, //
 };
 
 pub use rustix::process::Signal;
@@ -83,6 +86,20 @@
         Ok(())
     }
 
+    /// Limits the size of the files that the daemon writes, in bytes; none lifts the limit.
+    ///
+    /// # Errors
+    ///
+    /// What the system reported.
+    pub fn limit_files(&self, bytes: Option<u64>) -> io::Result<()> {
+        let limit = Rlimit {
+            current: bytes,
+            maximum: None,
+        };
+        prlimit(Some(Pid::from_child(&self.child)), Resource::Fsize, limit)?;
+        Ok(())
+    }
+
     /// Sends a signal to the daemon.
     ///
     /// # Errors
