Log: histories go on by accepted edits, not by time

Cause: the history's test asked for more than 50 accepted edits in a fixed time, and got 46 and 48 in two of four runs on a busy machine.

Change: each failure lasts until eight more edits are accepted in spite of it, which is more than was asked for; an operator gives up a silent store after 0.5 s and resends to another one.

--- a/crates/daemon/tests/config_history.rs
+++ b/crates/daemon/tests/config_history.rs
@@ -23,7 +23,8 @@
     Forwarder,
     Passage,
     Signal,
-    call, //
+    call,
+    call_within, //
 };
 use todc_utils::{
     linearizability::{
@@ -38,6 +39,13 @@
 
 const NAMES: [&str; 3] = ["store-1", "store-2", "store-3"];
 const OPERATORS: usize = 4;
+
+/// Time after which an operator gives up a silent store and resends the edit to another one.
+const SILENCE: Duration = Duration::from_millis(500);
+
+/// Edits that have to be accepted during each failure.
+const PROGRESS: usize = 8;
+
 const SECTIONS: [&str; 2] = ["one", "two"];
 
 /// What became of an edit, as its operator saw it.
@@ -112,8 +120,15 @@
     let name = SECTIONS[operation.section];
     for attempt in 0..60 {
         let store = stores[(start + attempt) % stores.len()];
-        let text = text(name, &operation.id);
-        let answer = Cluster::edit(store, &operation.id, name, operation.base, &text);
+        let edit = json!({
+            "author": "test",
+            "base": operation.base,
+            "id": operation.id,
+            "section": name,
+            "text": text(name, &operation.id),
+        });
+        let body = edit.to_string();
+        let answer = call_within(SILENCE, store, "POST /v1/edits", &[], body.as_bytes());
         match answer.map(|answer| seen(&answer.text())) {
             Ok(Seen::Unknown) | Err(_) => thread::sleep(Duration::from_millis(50)),
             Ok(seen) => return seen,
@@ -198,9 +213,32 @@
     panic!("no leader");
 }
 
-/// Brings about one failure after the other, and heals each.
-fn disturb(cluster: &mut Cluster, links: &[Forwarder]) {
-    let wait = || thread::sleep(Duration::from_millis(1300));
+/// Number of accepted edits in a history.
+fn accepted(record: &Record) -> usize {
+    let actions = record.lock().unwrap();
+    let seen = actions.iter().filter(|(_, action)| match action {
+        Action::Call(_) => false,
+        Action::Response(operation) => matches!(operation.seen, Seen::Accepted(_)),
+    });
+    seen.count()
+}
+
+/// Waits until some more edits are accepted.
+fn progress(record: &Record) {
+    let start = accepted(record);
+    for _ in 0..2000 {
+        if accepted(record) >= start + PROGRESS {
+            return;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    panic!("only {} edits were accepted", accepted(record) - start);
+}
+
+/// Brings about one failure after the other, and heals each once edits were accepted in spite of it.
+fn disturb(cluster: &mut Cluster, links: &[Forwarder], record: &Record) {
+    let wait = || progress(record);
+    wait();
     let first = leader(cluster);
     cluster.stores[first].kill().unwrap();
     wait();
@@ -245,11 +283,11 @@
             let (admins, record, stop) = (&admins, &record, &stop);
             scope.spawn(move || operate(admins, number, stop, record));
         }
-        disturb(&mut cluster, &links);
+        disturb(&mut cluster, &links, &record);
         stop.store(true, Ordering::SeqCst);
     });
     let actions = record.lock().unwrap().clone();
-    let accepted: Vec<_> = actions
+    let taken: Vec<_> = actions
         .iter()
         .filter_map(|(_, action)| match action {
             Action::Response(operation) if matches!(operation.seen, Seen::Accepted(_)) => {
@@ -258,10 +296,9 @@
             _ => None,
         })
         .collect();
-    println!("{} actions, {} accepted", actions.len(), accepted.len());
-    assert!(accepted.len() > 50, "only {} accepted", accepted.len());
+    println!("{} actions, {} accepted", actions.len(), taken.len());
     assert!(linearizable(&actions), "{actions:#?}");
-    for operation in &accepted {
+    for operation in &taken {
         for start in 0..admins.len() {
             let again = send(&admins, start, operation);
             assert_eq!(again, operation.seen, "resend of {operation:?}");
--- a/examples/standin/src/http.rs
+++ b/examples/standin/src/http.rs
@@ -87,8 +87,23 @@
     headers: &[(&str, &str)],
     body: &[u8],
 ) -> io::Result<Answer> {
-    let mut stream = TcpStream::connect_timeout(&address, TIMEOUT)?;
-    stream.set_read_timeout(Some(TIMEOUT))?;
+    call_within(TIMEOUT, address, head, headers, body)
+}
+
+/// Sends one request as [`call`] does, and gives up a peer that is silent for a time.
+///
+/// # Errors
+///
+/// As for [`call`]; `WouldBlock` or `TimedOut` for a silent peer.
+pub fn call_within(
+    timeout: Duration,
+    address: SocketAddr,
+    head: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> io::Result<Answer> {
+    let mut stream = TcpStream::connect_timeout(&address, timeout)?;
+    stream.set_read_timeout(Some(timeout))?;
     let mut text = format!("{head} HTTP/1.1\r\nconnection: close\r\n");
     for (name, value) in headers {
         text += &format!("{name}: {value}\r\n");
--- a/examples/standin/src/lib.rs
+++ b/examples/standin/src/lib.rs
@@ -38,6 +38,7 @@
     },
     http::{
         Answer,
-        call, //
+        call,
+        call_within, //
     },
 };
