--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -1,10 +1,10 @@
-//! `mimosausher status`: describes an instance and those that it knows.
+//! `mimosausher status`: describes all instances that the asked one can reach.
 
-use serde::{
-    Deserialize,
-    Serialize, //
+use wire::{
+    MemberStatus,
+    Overview,
+    Status, //
 };
-use wire::Instance;
 
 use crate::{
     client::Client,
@@ -12,51 +12,147 @@
     table, //
 };
 
-/// What an instance says of itself and of those that it knows.
-#[derive(Debug)]
-#[derive(Deserialize, Serialize)]
-struct Status {
-    endpoints: usize,
-    instance: Instance,
-    instances: Vec<Instance>,
-    ready: bool,
-    revision: u64,
-    running: u32,
-}
+/// Number of the result code of a flow that was reset because its endpoint was gone.
+const FLOW_ENDPOINT_GONE: u16 = codes::Code::FlowEndpointGone.number();
 
-/// Prints the instance's state, then all instances in the order of their names.
+/// Prints the state of the system: the instances by data centre, and the services' endpoints as
+/// the asked instance knows them.
 ///
 /// # Errors
 ///
 /// Any failure of the call.
 pub async fn run(client: Client, json: bool) -> Result<(), Error> {
-    let status: Status = client.get("/v1/status").await?;
+    let overview: Overview = client.get("/v1/overview").await?;
     if json {
-        println!("{}", serde_json::json!(status));
+        println!("{}", serde_json::json!(overview));
         return Ok(());
     }
+    headline(&overview);
+    instances(&overview);
+    services(&overview);
+    Ok(())
+}
+
+fn headline(overview: &Overview) {
+    let lagging = overview.members.iter().filter(|member| member.lag > 0);
     println!(
-        "{}: revision {}, {} endpoints, {} requests running, {}",
-        status.instance.name,
-        status.revision,
-        status.endpoints,
-        status.running,
-        if status.ready { "ready" } else { "not ready" }
+        "{}: revision {}, leader {}, {} instances, {} behind, {} silent",
+        overview.asked,
+        overview.revision,
+        overview.leader.as_deref().unwrap_or("unknown"),
+        overview.members.len(),
+        lagging.count(),
+        overview.silent.len()
     );
-    let mut instances = status.instances;
-    instances.push(status.instance);
-    instances.sort_by(|one, other| one.name.cmp(&other.name));
-    let rows: Vec<_> = instances
+    if !overview.silent.is_empty() {
+        println!("silent: {}", overview.silent.join(", "));
+    }
+}
+
+fn instances(overview: &Overview) {
+    let rows: Vec<_> = overview
+        .members
+        .iter()
+        .map(|member| row(member, overview.leader.as_deref()))
+        .collect();
+    println!();
+    table::print(
+        [
+            "CENTRE", "NAME", "ROLE", "STATE", "REVISION", "BEHIND", "BROKEN", "REFUSED",
+            "RUNNING", "ADMIN",
+        ],
+        &rows,
+    );
+}
+
+fn row(member: &MemberStatus, leader: Option<&str>) -> [String; 10] {
+    let own = [member.centre.to_string(), member.name.to_string()];
+    let [centre, name] = own;
+    let Some(status) = &member.status else {
+        let standing = format!("{:?}, silent", member.standing).to_lowercase();
+        let blank = || "-".to_owned();
+        return [
+            centre,
+            name,
+            blank(),
+            standing,
+            blank(),
+            blank(),
+            blank(),
+            blank(),
+            blank(),
+            blank(),
+        ];
+    };
+    let role = match status.instance.store {
+        true if leader == Some(&*member.name) => "leader",
+        true => "store",
+        false => "entry",
+    };
+    [
+        centre,
+        name,
+        role.to_owned(),
+        state(status).to_owned(),
+        status.revision.to_string(),
+        member.lag.to_string(),
+        refused(status, |code| code == FLOW_ENDPOINT_GONE).to_string(),
+        refused(status, |code| code != FLOW_ENDPOINT_GONE).to_string(),
+        status.running.to_string(),
+        status.instance.addresses.admin.to_string(),
+    ]
+}
+
+const fn state(status: &Status) -> &'static str {
+    match (status.stopping, status.ready) {
+        (true, _) => "stopping",
+        (false, true) => "ready",
+        (false, false) => "not ready",
+    }
+}
+
+fn refused(status: &Status, counted: impl Fn(u16) -> bool) -> u64 {
+    let refusals = status.refusals.iter();
+    refusals
+        .filter(|refusals| counted(refusals.code))
+        .map(|refusals| refusals.count)
+        .sum()
+}
+
+fn services(overview: &Overview) {
+    let asked = overview
+        .members
+        .iter()
+        .find(|member| member.name == overview.asked);
+    let Some(status) = asked.and_then(|member| member.status.as_ref()) else {
+        return;
+    };
+    let rows: Vec<_> = status
+        .services
         .iter()
-        .map(|instance| {
+        .map(|service| {
             [
-                instance.name.to_string(),
-                instance.centre.to_string(),
-                if instance.store { "yes" } else { "no" }.to_owned(),
-                instance.addresses.admin.to_string(),
+                service.name.to_string(),
+                service.ready.to_string(),
+                service.draining.to_string(),
+                service.starting.to_string(),
+                service.stale.to_string(),
+                service.waiting.to_string(),
+                format!("{:.2}", service.imbalance),
             ]
         })
         .collect();
-    table::print(["NAME", "CENTRE", "STORE", "ADMIN"], &rows);
-    Ok(())
+    println!();
+    table::print(
+        [
+            "SERVICE",
+            "READY",
+            "DRAINING",
+            "STARTING",
+            "STALE",
+            "WAITING",
+            "IMBALANCE",
+        ],
+        &rows,
+    );
 }
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use codes::Code;
+use compio::tls::TlsAcceptor;
 use http_body_util::{
     BodyExt,
     Full,
@@ -25,40 +26,28 @@
 };
 use wire::{
     Announcement,
-    Datagram,
     Edit,
-    LogMembers,
-    Outcome, //
+    LogMembers, //
 };
 
 use crate::{
-    convert,
+    auth::Caller,
     datagrams,
-    follower,
+    endpoints,
     http::Handler,
     members::{
         self,
         Refused, //
     },
     node::Node,
-    refusal::Refusal, //
+    operators,
+    refusal::Refusal,
+    status, //
 };
 
 /// Largest body that this face takes, in bytes.
 const BODY_BYTES: usize = 4 * 1024 * 1024;
 
-/// What an instance says of itself and of those that it knows.
-#[derive(Debug)]
-#[derive(Serialize)]
-struct Status {
-    endpoints: usize,
-    instance: wire::Instance,
-    instances: Vec<wire::Instance>,
-    ready: bool,
-    revision: u64,
-    running: u32,
-}
-
 /// Answers operators, endpoints and monitors.
 #[derive(Clone, Debug)]
 pub struct Admin {
@@ -75,6 +64,10 @@
 impl Handler for Admin {
     type Body = Full<Bytes>;
 
+    fn acceptor(&self) -> Option<TlsAcceptor> {
+        self.node.auth.acceptor()
+    }
+
     fn handle(
         &self,
         request: Request<Incoming>,
@@ -84,18 +77,27 @@
 }
 
 async fn route(node: Rc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
-    let path = request.uri().path().to_owned();
+    let caller = match node.auth.permit(&request) {
+        Ok(caller) => caller,
+        Err(refusal) => return forbid(&node, &refusal),
+    };
+    let uri = request.uri().clone();
+    let path = uri.path().to_owned();
     match (request.method(), path.as_str()) {
         (&Method::GET, "/healthz") => text(StatusCode::OK, "alive\n"),
         (&Method::GET, "/metrics") => text(StatusCode::OK, &node.metrics.text()),
         (&Method::GET, "/readyz") if node.ready() => text(StatusCode::OK, "ready\n"),
         (&Method::GET, "/readyz") => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        (&Method::GET, "/v1/audit") => page(&node, operators::audit(&node, &uri).await),
         (&Method::GET, "/v1/document") => json(&node.configuration.borrow().sections()),
-        (&Method::GET, "/v1/endpoints") => json(&endpoints(&node)),
+        (&Method::GET, "/v1/endpoints") => json(&endpoints::page(&node)),
+        (&Method::GET, "/v1/history") => page(&node, operators::history(&node, &uri).await),
         (&Method::GET, "/v1/members") => answer(&node, members::show(&node)),
-        (&Method::GET, "/v1/status") => json(&status(&node)),
+        (&Method::GET, "/v1/overview") => json(&status::overview(&node).await),
+        (&Method::GET, "/v1/status") => json(&status::page(&node)),
+        (&Method::GET, "/v1/watch") => json(&operators::watch(&node, &uri).await),
         (&Method::POST, "/v1/announcements") => announce(&node, request).await,
-        (&Method::POST, "/v1/edits") => edit(&node, request).await,
+        (&Method::POST, "/v1/edits") => edit(&node, caller, request).await,
         (&Method::POST, "/v1/init") => match read(request, Code::SyntaxInvalid).await {
             Ok(init) => answer(&node, members::init(&node, init).await),
             Err(refusal) => refuse(&node, Code::SyntaxInvalid, refusal),
@@ -129,54 +131,48 @@
         Ok(announcement) => announcement,
         Err(refusal) => return refuse(node, code, refusal),
     };
-    let endpoint = convert::endpoint(announcement.clone());
-    let taken = node.directory.borrow_mut().announce(node.now(), endpoint);
-    match taken {
-        Ok(_) => {
-            datagrams::tell(node, &Datagram::Announcement(announcement)).await;
-            text(StatusCode::NO_CONTENT, "")
-        }
-        Err(code) => refuse(node, code, Refusal::new(code, &*announcement.name)),
+    let name = announcement.name.clone();
+    match datagrams::announce(node, announcement).await {
+        Ok(_) => text(StatusCode::NO_CONTENT, ""),
+        Err(code) => refuse(node, code, Refusal::new(code, &*name)),
     }
 }
 
-async fn edit(node: &Rc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn edit(
+    node: &Rc<Node>,
+    caller: Caller,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
     let code = Code::SyntaxInvalid;
     match read::<Edit>(request, code).await {
-        Ok(edit) => {
-            let outcome = follower::edit(node, edit).await;
-            if let Outcome::Refused { code, .. } = &outcome {
-                node.metrics.refuse(*code);
-            }
-            json(&outcome)
-        }
+        Ok(edit) => json(&operators::edit(node, caller, edit).await),
         Err(refusal) => refuse(node, code, refusal),
     }
 }
 
-fn endpoints(node: &Node) -> Vec<Announcement> {
-    let directory = node.directory.borrow();
-    let mut endpoints: Vec<_> = directory
-        .iter()
-        .map(|(_, endpoint)| convert::announcement(endpoint))
-        .collect();
-    endpoints.sort_by(|one, other| one.name.cmp(&other.name));
-    endpoints
+/// Refuses a caller whose key is missing or does not suffice.
+fn forbid(node: &Node, refusal: &Refusal) -> Response<Full<Bytes>> {
+    let status = match refusal.code == Code::Unauthenticated.number() {
+        true => StatusCode::UNAUTHORIZED,
+        false => StatusCode::FORBIDDEN,
+    };
+    node.metrics.refuse_number(refusal.code);
+    log::info!(code = refusal.code; "refused: {}", refusal.advice);
+    refusal.response(status)
 }
 
-fn status(node: &Node) -> Status {
-    Status {
-        endpoints: node.directory.borrow().iter().count(),
-        instance: node.describe(),
-        instances: node
-            .members
-            .borrow()
-            .iter()
-            .map(convert::heartbeat)
-            .collect(),
-        ready: node.ready(),
-        revision: node.configuration.borrow().revision(),
-        running: node.dispatch.borrow().total(),
+/// Answers with a page that may have been refused.
+fn page<T: Serialize>(node: &Node, page: Result<T, Refusal>) -> Response<Full<Bytes>> {
+    match page {
+        Ok(page) => json(&page),
+        Err(refusal) => {
+            let status = match refusal.code == Code::NoLeader.number() {
+                true => StatusCode::SERVICE_UNAVAILABLE,
+                false => StatusCode::NOT_FOUND,
+            };
+            node.metrics.refuse_number(refusal.code);
+            refusal.response(status)
+        }
     }
 }
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,5 +1,10 @@
 //! The process's metrics, in the Prometheus text format.
 
+use std::{
+    cell::RefCell,
+    collections::BTreeMap, //
+};
+
 use codes::Code;
 use prometheus_client::{
     encoding::{
@@ -13,6 +18,10 @@
     },
     registry::Registry, //
 };
+use wire::Refusals;
+
+/// Bytes of the IPv4 and UDP headers of a datagram.
+const HEADER_BYTES: u64 = 28;
 
 /// The label of counters by result code.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -33,6 +42,8 @@
 /// All metrics of the process.
 #[derive(Debug)]
 pub struct Metrics {
+    /// Bytes of datagrams sent to other instances.
+    pub control: Counter,
     /// Endpoints under a lease.
     pub endpoints: Gauge,
     /// Bytes of flows copied to other entries.
@@ -51,6 +62,7 @@
     pub requests: Family<ServiceLabel, Counter>,
     /// Revision of the document in force.
     pub revision: Gauge,
+    refused: RefCell<BTreeMap<u16, u64>>,
     registry: Registry,
 }
 
@@ -58,6 +70,7 @@
     /// Creates the metrics, all at zero.
     pub fn new() -> Self {
         let mut metrics = Self {
+            control: Counter::default(),
             endpoints: Gauge::default(),
             flow_bytes: Counter::default(),
             flows: Gauge::default(),
@@ -65,6 +78,7 @@
             instances: Gauge::default(),
             packets: Counter::default(),
             refusals: Family::default(),
+            refused: RefCell::default(),
             registry: Registry::with_prefix("mimosausher"),
             requests: Family::default(),
             revision: Gauge::default(),
@@ -75,10 +89,31 @@
 
     /// Counts a refusal.
     pub fn refuse(&self, code: Code) {
-        let label = CodeLabel {
-            code: code.number(),
-        };
-        self.refusals.get_or_create(&label).inc();
+        self.refuse_number(code.number());
+    }
+
+    /// Counts a refusal by the number of its code.
+    pub fn refuse_number(&self, code: u16) {
+        self.refusals.get_or_create(&CodeLabel { code }).inc();
+        *self.refused.borrow_mut().entry(code).or_default() += 1;
+    }
+
+    /// All refusals by code.
+    pub fn refused(&self) -> Vec<Refusals> {
+        let refused = self.refused.borrow();
+        refused
+            .iter()
+            .map(|(code, count)| Refusals {
+                code: *code,
+                count: *count,
+            })
+            .collect()
+    }
+
+    /// Counts a datagram to another instance.
+    pub fn sent(&self, length: usize) {
+        let length = u64::try_from(length).unwrap_or(u64::MAX);
+        self.control.inc_by(length.saturating_add(HEADER_BYTES));
     }
 
     /// All metrics as text.
@@ -92,6 +127,11 @@
 
     fn register(&mut self) {
         let registry = &mut self.registry;
+        registry.register(
+            "control_bytes",
+            "Bytes of datagrams sent to other instances, with their IP and UDP headers",
+            self.control.clone(),
+        );
         registry.register(
             "endpoints",
             "Endpoints under a lease",
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -14,7 +14,10 @@
 };
 
 use compio::net::UdpSocket;
-use directory::Directory;
+use directory::{
+    Directory,
+    Relay, //
+};
 use event_listener::Event;
 use membership::Members;
 use settings::Settings;
@@ -22,14 +25,17 @@
 use wire::Addresses;
 
 use crate::{
+    auth::Auth,
     claims::Claims,
     configuration::Configuration,
     connections::Connections,
+    convert_member,
     error::Error,
     metrics::Metrics,
     replica::Replica,
     router::Router,
     services::Services,
+    spread::Spread,
     stop::Stop, //
 };
 
@@ -38,6 +44,8 @@
 pub struct Node {
     /// Where the instance is reached.
     pub addresses: Addresses,
+    /// Who may call the operators' interface.
+    pub auth: Auth,
     /// Notified when the replica has changed.
     pub changed: Event,
     /// This entry's part in the claims on idempotency keys.
@@ -50,12 +58,12 @@
     pub directory: RefCell<Directory>,
     /// The requests that run.
     pub dispatch: RefCell<Services>,
-    /// Grows with each start of the process.
-    pub incarnation: u64,
     /// The other instances.
     pub members: RefCell<Members>,
     /// The metrics.
     pub metrics: Metrics,
+    /// What passes announcements on.
+    pub relay: RefCell<Relay>,
     /// The replica of the configuration; stores only.
     pub replica: Option<RefCell<Replica>>,
     /// The steering of flows.
@@ -64,6 +72,8 @@
     pub settings: Settings,
     /// The socket for datagrams to other instances; set once at the start.
     pub socket: OnceCell<Rc<UdpSocket>>,
+    /// The document's way to this instance.
+    pub spread: Spread,
     /// The planned stop.
     pub stop: Stop,
     start: Instant,
@@ -85,21 +95,33 @@
         };
         let incarnation = epoch_millis();
         let router = Router::new(&settings.instance, incarnation);
+        let own = wire::Instance {
+            addresses,
+            centre: settings.instance.centre.clone(),
+            incarnation,
+            name: settings.instance.name.clone(),
+            refutation: 0,
+            store: replica.is_some(),
+        };
+        let own = convert_member::instance(own);
+        let members = Members::new(own, &settings.seeds, rand::random());
         let node = Self {
             addresses,
+            auth: Auth::open(&settings)?,
             changed: Event::new(),
             claims: Claims::new(&settings.instance.name),
             configuration: RefCell::new(Configuration::new()),
             connections: Connections::new(),
             directory: RefCell::new(Directory::new()),
             dispatch: RefCell::new(Services::new()),
-            incarnation,
-            members: RefCell::new(Members::new(&settings.instance.name)),
+            members: RefCell::new(members),
             metrics: Metrics::new(),
+            relay: RefCell::new(Relay::new()),
             replica,
             router: RefCell::new(router),
             settings,
             socket: OnceCell::new(),
+            spread: Spread::default(),
             start: Instant::now(),
             stop: Stop::default(),
         };
@@ -111,22 +133,18 @@
         self.start.elapsed()
     }
 
-    /// The instance as its heartbeats describe it.
+    /// The instance as others are told of it.
     pub fn describe(&self) -> wire::Instance {
-        wire::Instance {
-            addresses: self.addresses,
-            centre: self.settings.instance.centre.clone(),
-            incarnation: self.incarnation,
-            name: self.settings.instance.name.clone(),
-            store: self.replica.is_some(),
-        }
+        convert_member::described(self.members.borrow().own())
     }
 
-    /// Whether the instance can serve: it has a document in force and is not stopping.
+    /// Whether the instance can serve: it has a document in force that a quorum of the stores
+    /// confirmed after its start, and is not stopping.
     pub fn ready(&self) -> bool {
         let stored = self.replica.is_some();
         let revision = self.configuration.borrow().revision();
-        (stored || revision > 0) && !self.stop.begun()
+        let confirmed = self.spread.follower.borrow().confirmed();
+        (stored || (confirmed && revision > 0)) && !self.stop.begun()
     }
 }
 
--- a/crates/membership/src/instance.rs
+++ b/crates/membership/src/instance.rs
@@ -17,6 +17,8 @@
     pub inner: SocketAddr,
     /// Its name.
     pub name: Box<str>,
+    /// Grows with each false suspicion that it refutes.
+    pub refutation: u32,
     /// Where callers' requests reach it; entries only.
     pub requests: Option<SocketAddr>,
     /// Whether it keeps a replica of the configuration.
--- a/crates/wire/src/instance.rs
+++ b/crates/wire/src/instance.rs
@@ -33,6 +33,8 @@
     pub incarnation: u64,
     /// Its name.
     pub name: Box<str>,
+    /// Grows with each false suspicion that it refutes.
+    pub refutation: u32,
     /// Whether it keeps a replica of the configuration.
     pub store: bool,
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,15 +10,17 @@
 mod datagram;
 mod endpoint;
 mod error;
+mod follow;
 mod handover;
 mod instance;
 mod log;
 mod server;
+mod status;
+mod trail;
 
 pub use crate::{
     call::{
         Edit,
-        Follow,
         Inner,
         InnerClient,
         InnerRequest,
@@ -37,14 +39,25 @@
     codec::Postcard,
     connection::connect,
     datagram::{
+        Batch,
+        Body,
         Datagram,
-        MAX_DATAGRAM_BYTES, //
+        MAX_DATAGRAM_BYTES,
+        Member,
+        Report,
+        Route,
+        Standing, //
     },
     endpoint::{
         Announcement,
         State, //
     },
     error::Error,
+    follow::{
+        Delta,
+        Follow,
+        Followed, //
+    },
     handover::{
         CopiedFlows,
         FlowDatagram,
@@ -67,5 +80,20 @@
         Proposal,
         StoreAddress, //
     },
-    server::serve, //
+    server::{
+        IDLE_TIMEOUT,
+        serve, //
+    },
+    status::{
+        MemberStatus,
+        Overview,
+        Refusals,
+        ServiceStatus,
+        Status, //
+    },
+    trail::{
+        AuditLine,
+        AuditQuery,
+        PastVersion, //
+    },
 };
