--- a/crates/configuration/benches/capacity.rs
+++ b/crates/configuration/benches/capacity.rs
@@ -36,15 +36,13 @@
         let before = resident();
         let mut configuration = Configuration::new();
         let changed = (0..size / SECTION).map(|number| text(number, 0)).collect();
-        configuration.apply(change(1, true, changed)).unwrap();
+        apply(&mut configuration, change(1, true, changed));
         memories.push((f64::from(size), resident() - before));
         let start = Instant::now();
         for turn in 0..CHANGES {
             let changed = vec![text(turn % (size / SECTION), turn)];
             let revision = u64::from(turn) + 2;
-            configuration
-                .apply(change(revision, false, changed))
-                .unwrap();
+            apply(&mut configuration, change(revision, false, changed));
         }
         let nanos = start.elapsed().as_secs_f64() * 1e9 / f64::from(CHANGES);
         Figure::new(
@@ -70,6 +68,11 @@
     pages.parse::<f64>().unwrap() * PAGE_BYTES
 }
 
+fn apply(configuration: &mut Configuration, change: Change) {
+    let prepared = configuration.prepare(change).unwrap();
+    assert!(configuration.apply(prepared.unwrap()));
+}
+
 fn change(revision: u64, complete: bool, changed: Vec<Text>) -> Change {
     Change {
         changed,
--- a/crates/configuration/src/change.rs
+++ b/crates/configuration/src/change.rs
@@ -1,5 +1,7 @@
 //! What differs between two revisions of the document.
 
+use settings::Section;
+
 /// A section's text and version.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Text {
@@ -23,3 +25,19 @@
     /// The later revision.
     pub revision: u64,
 }
+
+/// A change whose texts have been read.
+#[derive(Clone, Debug)]
+pub struct Prepared {
+    pub(crate) complete: bool,
+    pub(crate) removed: Vec<Box<str>>,
+    pub(crate) revision: u64,
+    pub(crate) sections: Vec<(Text, Section)>,
+}
+
+impl Prepared {
+    /// The later revision.
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+}
--- a/crates/configuration/src/configuration.rs
+++ b/crates/configuration/src/configuration.rs
@@ -20,6 +20,7 @@
 
 use crate::change::{
     Change,
+    Prepared,
     Text, //
 };
 
@@ -56,20 +57,34 @@
         }
     }
 
-    /// Takes a change into force; returns false, and changes nothing, if its revision is not
+    /// Reads the sections of a change, which stays without effect; none if its revision is not
     /// later than the one in force.
     ///
     /// # Errors
     ///
-    /// The refusal of a section's text; nothing is changed.
-    pub fn apply(&mut self, change: Change) -> Result<bool, Error> {
+    /// The refusal of a section's text.
+    pub fn prepare(&self, change: Change) -> Result<Option<Prepared>, Error> {
         if change.revision <= self.revision {
-            return Ok(false);
+            return Ok(None);
         }
-        let mut parsed = Vec::with_capacity(change.changed.len());
+        let mut sections = Vec::with_capacity(change.changed.len());
         for text in change.changed {
             let section = Section::parse(&Source::new(&text.name, &text.text))?;
-            parsed.push((text, section));
+            sections.push((text, section));
+        }
+        Ok(Some(Prepared {
+            complete: change.complete,
+            removed: change.removed,
+            revision: change.revision,
+            sections,
+        }))
+    }
+
+    /// Takes a prepared change into force; returns false, and changes nothing, if its revision is
+    /// not later than the one in force.
+    pub fn apply(&mut self, change: Prepared) -> bool {
+        if change.revision <= self.revision {
+            return false;
         }
         if change.complete {
             *self = Self::new();
@@ -77,15 +92,16 @@
         for name in &change.removed {
             self.remove(name);
         }
-        for (text, _) in &parsed {
+        // All old texts go first, so that an address may move from one section to another.
+        for (text, _) in &change.sections {
             self.remove(&text.name);
         }
-        for (text, section) in parsed {
+        for (text, section) in change.sections {
             self.insert(text, section);
         }
         self.revision = change.revision;
         self.retention = self.longest();
-        Ok(true)
+        true
     }
 
     /// The service of a packet's destination.
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -9,6 +9,7 @@
 pub use crate::{
     change::{
         Change,
+        Prepared,
         Text, //
     },
     configuration::{
--- a/crates/configuration/tests/configuration.rs
+++ b/crates/configuration/tests/configuration.rs
@@ -35,6 +35,14 @@
     }
 }
 
+/// Takes a change into force; returns whether it was later than the one in force.
+fn apply(configuration: &mut Configuration, change: Change) -> bool {
+    match configuration.prepare(change).unwrap() {
+        Some(prepared) => configuration.apply(prepared),
+        None => false,
+    }
+}
+
 fn address(port: u16) -> Address {
     Address {
         ip: "203.0.113.10".parse().unwrap(),
@@ -46,20 +54,29 @@
 #[test]
 fn apply_earlier_revision() {
     let mut configuration = Configuration::new();
-    assert!(configuration.apply(change(5, vec![text("a", 1)])).unwrap());
-    assert!(!configuration.apply(change(5, vec![text("a", 2)])).unwrap());
-    assert!(!configuration.apply(change(4, vec![text("a", 3)])).unwrap());
+    assert!(apply(&mut configuration, change(5, vec![text("a", 1)])));
+    assert!(!apply(&mut configuration, change(5, vec![text("a", 2)])));
+    assert!(!apply(&mut configuration, change(4, vec![text("a", 3)])));
     assert!(configuration.by_destination(&address(1)).is_some());
     assert_eq!(configuration.revision(), 5);
 }
 
+#[test]
+fn apply_overtaken_change() {
+    let mut configuration = Configuration::new();
+    let prepared = configuration.prepare(change(1, vec![text("a", 1)]));
+    assert!(apply(&mut configuration, change(2, vec![text("a", 2)])));
+    assert!(!configuration.apply(prepared.unwrap().unwrap()));
+    assert!(configuration.by_destination(&address(2)).is_some());
+}
+
 #[test]
 fn apply_invalid_text() {
     let mut configuration = Configuration::new();
-    configuration.apply(change(1, vec![text("a", 1)])).unwrap();
+    apply(&mut configuration, change(1, vec![text("a", 1)]));
     let mut broken = text("b", 2);
     broken.text = "team = 3".into();
-    let result = configuration.apply(change(2, vec![text("a", 3), broken]));
+    let result = configuration.prepare(change(2, vec![text("a", 3), broken]));
     assert!(result.is_err());
     assert_eq!(configuration.revision(), 1);
     assert!(configuration.by_destination(&address(1)).is_some());
@@ -70,9 +87,9 @@
 fn apply_moved_address() {
     let mut configuration = Configuration::new();
     let first = vec![text("a", 1), text("b", 2)];
-    configuration.apply(change(1, first)).unwrap();
+    apply(&mut configuration, change(1, first));
     let swapped = vec![text("a", 2), text("b", 1)];
-    configuration.apply(change(2, swapped)).unwrap();
+    apply(&mut configuration, change(2, swapped));
     let name = |port| {
         let service = configuration.by_destination(&address(port)).unwrap();
         service.name.to_string()
@@ -85,10 +102,10 @@
 fn apply_removed_section() {
     let mut configuration = Configuration::new();
     let both = vec![text("a", 1), text("b", 2)];
-    configuration.apply(change(1, both)).unwrap();
+    apply(&mut configuration, change(1, both));
     let mut removal = change(2, Vec::new());
     removal.removed.push("a".into());
-    configuration.apply(removal).unwrap();
+    apply(&mut configuration, removal);
     assert!(configuration.by_host("a.example").is_none());
     assert!(configuration.service("a-flows").is_none());
     assert!(configuration.by_host("b.example").is_some());
@@ -99,10 +116,10 @@
 #[test]
 fn apply_whole_document() {
     let mut configuration = Configuration::new();
-    configuration.apply(change(1, vec![text("a", 1)])).unwrap();
+    apply(&mut configuration, change(1, vec![text("a", 1)]));
     let mut whole = change(9, vec![text("b", 2)]);
     whole.complete = true;
-    configuration.apply(whole).unwrap();
+    apply(&mut configuration, whole);
     assert!(configuration.service("a-flows").is_none());
     assert!(configuration.service("b-flows").is_some());
     assert_eq!(configuration.revision(), 9);
@@ -113,8 +130,6 @@
     let mut configuration = Configuration::new();
     let mut long = text("a", 1);
     long.text = format!("{}[service.requests]\nkeep_ms = 900000\n", long.text).into();
-    configuration
-        .apply(change(1, vec![text("b", 2), long]))
-        .unwrap();
+    apply(&mut configuration, change(1, vec![text("b", 2), long]));
     assert_eq!(configuration.retention(), Duration::from_secs(900));
 }
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -32,6 +32,7 @@
 
 use crate::{
     auth::Caller,
+    convert_change,
     datagrams,
     endpoints,
     http::Handler,
@@ -89,7 +90,9 @@
         (&Method::GET, "/readyz") if node.ready() => text(StatusCode::OK, "ready\n"),
         (&Method::GET, "/readyz") => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         (&Method::GET, "/v1/audit") => page(&node, operators::audit(&node, &uri).await),
-        (&Method::GET, "/v1/document") => json(&node.configuration.borrow().sections()),
+        (&Method::GET, "/v1/document") => {
+            json(&convert_change::texts(&node.configuration.borrow()))
+        }
         (&Method::GET, "/v1/endpoints") => json(&endpoints::page(&node)),
         (&Method::GET, "/v1/history") => page(&node, operators::history(&node, &uri).await),
         (&Method::GET, "/v1/members") => answer(&node, members::show(&node)),
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -8,6 +8,7 @@
     time::Duration, //
 };
 
+use configuration::Prepared;
 use distribution::{
     ASK_TIMEOUT,
     Answer,
@@ -31,7 +32,7 @@
 };
 
 use crate::{
-    configuration::Configuration,
+    convert_change,
     node::Node,
     stores, //
 };
@@ -110,7 +111,10 @@
             return self.handle(Event::Lost(from), None);
         };
         let changed = match followed.delta {
-            Some(delta) => self.node.configuration.borrow().changed(delta),
+            Some(delta) => {
+                let change = convert_change::delta(delta);
+                self.node.configuration.borrow().prepare(change)
+            }
             None => Ok(None),
         };
         match changed {
@@ -131,7 +135,7 @@
         }
     }
 
-    fn handle(&mut self, event: Event<SocketAddr>, next: Option<Configuration>) {
+    fn handle(&mut self, event: Event<SocketAddr>, next: Option<Prepared>) {
         let now = self.node.now();
         let actions = self.node.spread.follower.borrow_mut().handle(now, event);
         let mut next = next;
@@ -199,7 +203,10 @@
         let listener = node.changed.listen();
         let revision = node.configuration.borrow().revision();
         let update = replica.borrow().update(revision);
-        let next = update.map(|update| node.configuration.borrow().updated(update));
+        let next = update.map(|update| {
+            let change = convert_change::update(update);
+            node.configuration.borrow().prepare(change)
+        });
         match next {
             Some(Ok(Some(next))) => take(&node, next),
             Some(Err(error)) => {
@@ -212,9 +219,11 @@
     }
 }
 
-fn take(node: &Node, next: Configuration) {
+fn take(node: &Node, next: Prepared) {
     let revision = next.revision();
-    node.configuration.replace(next);
+    if !node.configuration.borrow_mut().apply(next) {
+        return;
+    }
     let gauge = i64::try_from(revision).unwrap_or(i64::MAX);
     node.metrics.revision.set(gauge);
     node.spread.updated.notify(usize::MAX);
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -14,6 +14,7 @@
 };
 
 use compio::net::UdpSocket;
+use configuration::Configuration;
 use directory::{
     Directory,
     Relay, //
@@ -27,7 +28,6 @@
 use crate::{
     auth::Auth,
     claims::Claims,
-    configuration::Configuration,
     connections::Connections,
     convert_member,
     error::Error,
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     auth::Caller,
+    convert_change,
     node::Node,
     proposals,
     refusal::Refusal,
@@ -109,7 +110,7 @@
     let configuration = node.configuration.borrow();
     InForce {
         revision: configuration.revision(),
-        sections: configuration.sections().to_vec(),
+        sections: convert_change::texts(&configuration),
     }
 }
 
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -26,6 +26,7 @@
 };
 
 use crate::{
+    convert,
     node::Node,
     reach::Reach, //
 };
@@ -181,7 +182,7 @@
         let mut endpoints = Vec::new();
         for (destination, service) in configuration.destinations() {
             let id = ServiceId::new(&service.name);
-            self.services.insert(*destination, id);
+            self.services.insert(convert::destination(destination), id);
             for (key, endpoint) in directory.by_service(&service.name) {
                 if !service.allows(&endpoint.name) {
                     continue;
