--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -42,6 +42,8 @@
 /// All metrics of the process.
 #[derive(Debug)]
 pub struct Metrics {
+    /// Whether this entry knows all claims on its idempotency keys: 1 or 0.
+    pub claims: Gauge,
     /// Bytes of datagrams sent to other instances.
     pub control: Counter,
     /// Endpoints under a lease.
@@ -70,6 +72,7 @@
     /// Creates the metrics, all at zero.
     pub fn new() -> Self {
         let mut metrics = Self {
+            claims: Gauge::default(),
             control: Counter::default(),
             endpoints: Gauge::default(),
             flow_bytes: Counter::default(),
@@ -127,6 +130,11 @@
 
     fn register(&mut self) {
         let registry = &mut self.registry;
+        registry.register(
+            "claims_known",
+            "Whether this entry knows all claims on its idempotency keys",
+            self.claims.clone(),
+        );
         registry.register(
             "control_bytes",
             "Bytes of datagrams sent to other instances, with their IP and UDP headers",
--- a/crates/distribution/src/follower.rs
+++ b/crates/distribution/src/follower.rs
@@ -22,6 +22,8 @@
 pub struct Ask {
     /// Whether the revision's number is enough, without what changed.
     pub brief: bool,
+    /// Whether the answer counts as confirmed only if it holds all that was accepted before.
+    pub fresh: bool,
     /// Answer when there is a later revision than this one.
     pub revision: u64,
 }
@@ -181,6 +183,7 @@
             link.pending += 1;
             let ask = Ask {
                 brief: index > 0,
+                fresh: !self.confirmed,
                 revision: if index > 0 {
                     link.seen.max(revision)
                 } else {
--- a/crates/wire/src/follow.rs
+++ b/crates/wire/src/follow.rs
@@ -13,6 +13,8 @@
 pub struct Follow {
     /// Whether the revision's number is enough, without what changed.
     pub brief: bool,
+    /// Whether the answer counts as confirmed only if it holds all that was accepted before.
+    pub fresh: bool,
     /// Revision that the follower has.
     pub revision: u64,
 }
@@ -21,7 +23,8 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct Followed {
-    /// Whether the store was in contact with a quorum lately.
+    /// Whether the store was in contact with a quorum lately and, if a fresh answer was asked for,
+    /// has all that was accepted before.
     pub confirmed: bool,
     /// What the follower lacks; none if nothing, or if it asked for the number only.
     pub delta: Option<Delta>,
