--- a/crates/dispatch/benches/capacity.rs
+++ b/crates/dispatch/benches/capacity.rs
@@ -55,7 +55,7 @@
         pool.handle(now, Event::Ended { outcome, ticket });
     }
     print(
-        "capacity.request",
+        "capacity.dispatch_request",
         &format!("{endpoints} endpoints"),
         start,
         REQUESTS,
@@ -89,7 +89,7 @@
         holder.claim(Duration::from_millis(serial), claim);
     }
     print(
-        "capacity.claim",
+        "capacity.dispatch_claim",
         &format!("{entries} entries"),
         start,
         CLAIMS,
