--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -4,7 +4,8 @@
     ffi::OsString,
     path::Path,
     process::ExitCode,
-    rc::Rc, //
+    rc::Rc,
+    sync::Arc, //
 };
 
 use compio::runtime::{
@@ -17,6 +18,10 @@
 };
 use miette::Report;
 use settings::Settings;
+use signal_hook::{
+    consts::SIGXFSZ,
+    flag, //
+};
 
 use crate::{
     admin::Admin,
@@ -114,6 +119,8 @@
     spawn(datagrams::receive(node.clone(), socket)).detach();
     spawn(datagrams::beat(node.clone())).detach();
     if let Some(folder) = folder {
+        // With a handler, a write behind a file's largest size fails and does not end the process.
+        flag::register(SIGXFSZ, Arc::default()).map_err(Error::Runtime)?;
         spawn(driver::run(node.clone(), folder)).detach();
     }
     spawn(inner::accept(node.clone(), listeners.calls)).detach();
@@ -121,8 +128,9 @@
     spawn(stop_on_signal(node.clone())).detach();
     let admin = http::serve(node.clone(), listeners.admin, Admin::new(node.clone()));
     let admin = spawn(admin);
+    let asked = listeners.faces.is_some() && claims::ask_unused(&node).await;
     let callers = listeners.faces.map(|faces| {
-        spawn(claims::maintain(node.clone())).detach();
+        spawn(claims::maintain(node.clone(), asked)).detach();
         let fabric = Rc::new(faces.fabric);
         spawn(fabric::forward(node.clone(), fabric.clone())).detach();
         let flows = spawn(flows::tend(node.clone(), fabric));
