--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -337,7 +337,7 @@
     connect(node, address).await
 }
 
-async fn connect(node: &Node, address: SocketAddr) -> Option<InnerClient> {
+async fn connect(node: &Node, address: SocketAddr) -> Option<Client> {
     let known = node.claims.clients.borrow().get(&address).cloned();
     if known.is_some() {
         return known;
