Log: tests for a commit of an earlier term and for one id twice in flight

Cause: two mechanisms could be taken out without a failing test: that only entries of the present term are counted for commit, and that the ledger itself knows an id again when both copies were appended before the first was committed.

Change: a test for each.

--- a/crates/store/tests/raft.rs
+++ b/crates/store/tests/raft.rs
@@ -2,6 +2,8 @@
 
 mod world;
 
+use std::time::Duration;
+
 use codes::Code;
 use mimosausher_store::{
     Answer,
@@ -296,3 +298,42 @@
         run(seed, 5);
     }
 }
+
+#[test]
+fn commit_earlier_term() {
+    let mut world = led(3, Timing::new());
+    world.event(0, Event::Edit(edit("e1", 0), Token(1)));
+    let earlier = world.nodes[0].raft.log().last().index;
+    world.network.clear();
+    world.crash(0);
+    world.nodes[1].clock += Duration::from_secs(1);
+    world.tick(0);
+    while let Some(place) = world
+        .network
+        .iter()
+        .position(|message| message.to != id(2) && !matches!(message.body, Body::Append { .. }))
+    {
+        world.deliver(place);
+    }
+    assert_eq!(world.leader(), Some(0));
+    let held = Message {
+        body: Body::Appended { matched: earlier },
+        cluster: mimosausher_store::ClusterId(7),
+        from: id(1),
+        term: world.nodes[0].raft.term(),
+        to: id(0),
+    };
+    world.event(0, Event::Message(held));
+    assert!(world.nodes[0].raft.commit() < earlier);
+}
+
+#[test]
+fn edit_twice_in_flight() {
+    let mut world = led(3, Timing::new());
+    world.event(0, Event::Edit(edit("e1", 0), Token(1)));
+    world.event(0, Event::Edit(edit("e1", 0), Token(2)));
+    world.settle(&[0, 1, 2]);
+    assert_eq!(world.answers[&Token(1)], accepted(1));
+    assert_eq!(world.answers[&Token(2)], accepted(1));
+    assert_eq!(world.nodes[0].raft.ledger().audit().len(), 1);
+}
