--- a/crates/distribution/tests/follower.rs
+++ b/crates/distribution/tests/follower.rs
@@ -15,11 +15,25 @@
 
 const ZERO: Duration = Duration::ZERO;
 
+/// What a follower asks that has taken a confirmed document.
 fn ask(to: u32, brief: bool, revision: u64) -> Action<u32> {
-    Action::Ask {
-        ask: Ask { brief, revision },
-        to,
-    }
+    let fresh = false;
+    let ask = Ask {
+        brief,
+        fresh,
+        revision,
+    };
+    Action::Ask { ask, to }
+}
+
+/// What a follower asks that has just started.
+fn first(to: u32, brief: bool) -> Action<u32> {
+    let ask = Ask {
+        brief,
+        fresh: true,
+        revision: 0,
+    };
+    Action::Ask { ask, to }
 }
 
 fn answer(from: u32, confirmed: bool, revision: u64, update: bool) -> Event<u32> {
@@ -35,7 +49,7 @@
 fn settled() -> Follower<u32> {
     let mut follower = Follower::new();
     let actions = follower.handle(ZERO, Event::Upstreams(vec![1, 2, 3]));
-    assert_eq!(actions, [ask(1, false, 0), ask(2, true, 0)]);
+    assert_eq!(actions, [first(1, false), first(2, true)]);
     let actions = follower.handle(ZERO, answer(1, true, 5, true));
     assert_eq!(actions, [Action::Take(5), ask(1, false, 5)]);
     let actions = follower.handle(ZERO, answer(2, true, 5, false));
