A store notes each change as it is applied, not when a follower asks

Cause: follow_changed_sections failed once (1 run of the workspace's tests): a follower at revision 4 was sent a section that had changed at revision 5's predecessor, since the store noted both edits together when it was next asked. Ruled out: the configuration package, which is not on that path. Change: the log's driver notes a change when it is applied. Before: 1 failure in that run; after: 1 run of the file, passed.

--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -45,6 +45,7 @@
         let actions = replica.borrow_mut().handle(node.now());
         let last = replica.borrow().raft().log().last();
         if replica.borrow().ledger().revision() > before {
+            node.spread.record(&replica.borrow());
             node.changed.notify(usize::MAX);
         }
         let (writes, others) = split(actions);
--- a/crates/daemon/src/spread.rs
+++ b/crates/daemon/src/spread.rs
@@ -32,14 +32,20 @@
     /// Answers a follower from this store's replica, at `now` since the process started.
     pub fn answer(&self, replica: &RefCell<Replica>, now: Duration, follow: Follow) -> Followed {
         let replica = replica.borrow();
-        let mut published = self.published.borrow_mut();
-        if let Some(update) = replica.update(published.revision()) {
-            published.record(update);
-        }
+        self.record(&replica);
+        let published = self.published.borrow();
         Followed {
             confirmed: replica.confirmed(now),
             delta: published.since(follow.revision).filter(|_| !follow.brief),
             revision: published.revision(),
         }
     }
+
+    /// Takes note of what has changed in this store's replica, so that followers are sent no more.
+    pub fn record(&self, replica: &Replica) {
+        let mut published = self.published.borrow_mut();
+        if let Some(update) = replica.update(published.revision()) {
+            published.record(update);
+        }
+    }
 }
