A repeated SIGTERM never ends the process early

Ruled out: the drain itself, which a single signal did not cut. The recorder of kept answers gets a field term for its name; capacity benches print fitted slopes.

--- a/crates/daemon/src/keyed.rs
+++ b/crates/daemon/src/keyed.rs
@@ -25,12 +25,12 @@
     attempt,
     claims,
     job::Job,
-    keeper::{
-        Answer,
-        Keeper, //
-    },
     node::Node,
     pending::Pending,
+    recorder::{
+        Answer,
+        Recorder, //
+    },
     refused::Refused,
     requests,
     tracked::Tracked, //
@@ -100,8 +100,8 @@
         let result = result.map(|mut response| {
             crate::job::strip(response.headers_mut());
             let (status, headers) = (response.status(), response.headers().clone());
-            let keeper = Keeper::new(own.clone(), claim.clone(), status, &headers);
-            response.map(|body| body.with_keeper(keeper).settled())
+            let recorder = Recorder::new(own.clone(), claim.clone(), status, &headers);
+            response.map(|body| body.with_recorder(recorder).settled())
         });
         if let Err(refused) = &result {
             let settled = match refused.code.run() {
--- a/crates/daemon/src/keeper.rs
+++ b/crates/daemon/src/recorder.rs
@@ -60,7 +60,7 @@
 
 /// Collects the answer to a claim's request and settles the claim at its end.
 #[derive(Debug)]
-pub struct Keeper {
+pub struct Recorder {
     answer: Answer,
     claim: Claim,
     node: Rc<Node>,
@@ -68,8 +68,8 @@
     whole: bool,
 }
 
-impl Keeper {
-    /// Creates the keeper of an answer that begins with this status and these headers.
+impl Recorder {
+    /// Creates the recorder of an answer that begins with this status and these headers.
     pub fn new(node: Rc<Node>, claim: Claim, status: StatusCode, headers: &HeaderMap) -> Self {
         let headers = headers
             .iter()
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -39,12 +39,10 @@
     logs,
     node::Node,
     options::Options,
-    requests::Requests, //
+    requests::Requests,
+    signals::Signals, //
 };
 
-/// Number of the signal for a planned stop.
-const SIGTERM: i32 = 15;
-
 /// Runs the daemon as the command line says.
 pub fn run() -> ExitCode {
     let words: Vec<_> = std::env::args_os()
@@ -109,6 +107,7 @@
 
 /// Runs all roles until the planned stop is done.
 async fn serve(settings: Settings) -> Result<(), Error> {
+    let signals = Signals::new().map_err(Error::Runtime)?;
     let listeners = Listeners::open(&settings.listen).await?;
     let addresses = listeners.addresses().map_err(Error::Runtime)?;
     let (node, folder) = Node::new(settings, addresses)?;
@@ -125,7 +124,7 @@
     }
     spawn(inner::accept(node.clone(), listeners.calls)).detach();
     spawn(follower::follow(node.clone())).detach();
-    spawn(stop_on_signal(node.clone())).detach();
+    spawn(stop_on_signal(node.clone(), signals)).detach();
     let admin = http::serve(node.clone(), listeners.admin, Admin::new(node.clone()));
     let admin = spawn(admin);
     let asked = listeners.faces.is_some() && claims::ask_unused(&node).await;
@@ -153,16 +152,15 @@
     Ok(())
 }
 
-async fn stop_on_signal(node: Rc<Node>) {
-    if let Err(error) = compio::signal::unix::signal(SIGTERM).await {
+async fn stop_on_signal(node: Rc<Node>, mut signals: Signals) {
+    if let Err(error) = signals.next().await {
         log::error!("no signals can be received: {error}");
         return;
     }
     log::info!("stopping");
     node.stop.begin();
     datagrams::leave(&node).await;
-    // Later signals are taken too, so that none of them ends the process early.
-    while compio::signal::unix::signal(SIGTERM).await.is_ok() {
+    while signals.next().await.is_ok() {
         log::info!("already stopping");
     }
 }
--- a/crates/daemon/src/tracked.rs
+++ b/crates/daemon/src/tracked.rs
@@ -24,8 +24,8 @@
 };
 
 use crate::{
-    keeper::Keeper,
     node::Node,
+    recorder::Recorder,
     slot::Slot,
     upload::Upload, //
 };
@@ -42,7 +42,7 @@
 pub struct Tracked {
     address: SocketAddr,
     body: Option<Incoming>,
-    keeper: Option<Keeper>,
+    recorder: Option<Recorder>,
     node: Rc<Node>,
     sender: Option<Sender>,
     slot: Slot,
@@ -60,7 +60,7 @@
         Self {
             address,
             body: Some(body),
-            keeper: None,
+            recorder: None,
             node,
             sender: Some(sender),
             slot,
@@ -68,8 +68,8 @@
     }
 
     /// Adds who keeps the answer for resends of its request.
-    pub fn with_keeper(mut self, keeper: Keeper) -> Self {
-        self.keeper = Some(keeper);
+    pub fn with_recorder(mut self, recorder: Recorder) -> Self {
+        self.recorder = Some(recorder);
         self
     }
 
@@ -89,8 +89,8 @@
         {
             self.node.connections.keep(self.address, sender);
         }
-        if let Some(keeper) = self.keeper.take() {
-            keeper.end(outcome);
+        if let Some(recorder) = self.recorder.take() {
+            recorder.end(outcome);
         }
     }
 }
@@ -111,8 +111,8 @@
         match &polled {
             Poll::Pending => return Poll::Pending,
             Poll::Ready(Some(Ok(frame))) => {
-                if let (Some(keeper), Some(data)) = (self.keeper.as_mut(), frame.data_ref()) {
-                    keeper.add(data);
+                if let (Some(recorder), Some(data)) = (self.recorder.as_mut(), frame.data_ref()) {
+                    recorder.add(data);
                 }
                 if last {
                     self.end(Outcome::Answered);
@@ -141,14 +141,14 @@
         let Some(body) = self.body.take() else {
             return;
         };
-        match (self.keeper.take(), self.sender.take()) {
-            (Some(keeper), Some(sender)) => {
+        match (self.recorder.take(), self.sender.take()) {
+            (Some(recorder), Some(sender)) => {
                 let slot = self.slot.hand_over();
                 let rest = Self::new(self.node.clone(), slot, self.address, sender, body);
-                let rest = rest.with_keeper(keeper);
+                let rest = rest.with_recorder(recorder);
                 compio::runtime::spawn(rest.drain()).detach();
             }
-            (Some(keeper), None) => keeper.end(Outcome::Lost),
+            (Some(recorder), None) => recorder.end(Outcome::Lost),
             (None, _) => {}
         }
     }
--- a/crates/daemon/tests/path.rs
+++ b/crates/daemon/tests/path.rs
@@ -18,6 +18,7 @@
     Cluster,
     Endpoint,
     Fabric,
+    Signal,
     call, //
 };
 
@@ -102,6 +103,16 @@
 
 #[test]
 fn stop_running_request() {
+    stop_while_running(1);
+}
+
+#[test]
+fn stop_repeated_signal() {
+    stop_while_running(20);
+}
+
+/// Sends an entry a number of signals while a request runs, which has to be answered whole.
+fn stop_while_running(signals: usize) {
     let mut cluster = cluster();
     let _desk = endpoint(
         &cluster,
@@ -120,6 +131,10 @@
         page["running"].as_u64() == Some(1)
     })
     .unwrap();
+    for _ in 1..signals {
+        cluster.entries[1].signal(Signal::TERM).unwrap();
+        thread::sleep(Duration::from_millis(1));
+    }
     let status = cluster.entries[1].stop().unwrap();
     assert!(status.success());
     let answer = receiver.recv().unwrap().unwrap();
--- a/crates/dispatch/benches/capacity.rs
+++ b/crates/dispatch/benches/capacity.rs
@@ -22,21 +22,32 @@
     Ring,
     Ticket, //
 };
-use standin::Figure;
+use standin::Fit;
+
+/// Numbers of endpoints of one service.
+const ENDPOINTS: [u32; 5] = [3, 14, 50, 200, 800];
+
+/// Numbers of entries.
+const ENTRIES: [u32; 5] = [8, 50, 200, 500, 1000];
 
 const REQUESTS: u64 = 20_000;
 const CLAIMS: u64 = 50_000;
 
 fn main() {
-    for endpoints in [14, 100, 1000] {
-        place(endpoints);
-    }
-    for entries in [8, 100] {
-        claim(entries);
-    }
+    let times: Vec<_> = ENDPOINTS
+        .map(|endpoints| (f64::from(endpoints), place(endpoints)))
+        .to_vec();
+    let case = "by endpoint of the service";
+    Fit::new(&times).print("capacity.dispatch_ns", case, "ns/request");
+    let times: Vec<_> = ENTRIES
+        .map(|entries| (f64::from(entries), claim(entries)))
+        .to_vec();
+    let case = "by entry";
+    Fit::new(&times).print("capacity.claim_ns", case, "ns/claim");
 }
 
-fn place(endpoints: u32) {
+/// Nanoseconds to place a request and to end it.
+fn place(endpoints: u32) -> f64 {
     let mut pool = Pool::new(Observed::new(1), Limits::new());
     let candidates = (0..endpoints)
         .map(|key| Candidate {
@@ -54,15 +65,11 @@
         let outcome = Outcome::Answered;
         pool.handle(now, Event::Ended { outcome, ticket });
     }
-    print(
-        "capacity.dispatch_request",
-        &format!("{endpoints} endpoints"),
-        start,
-        REQUESTS,
-    );
+    nanos(start, REQUESTS)
 }
 
-fn claim(entries: u32) {
+/// Nanoseconds to claim a key.
+fn claim(entries: u32) -> f64 {
     let name = |entry: u32| -> Box<str> { format!("entry-{entry}").into() };
     let ring = Ring::new().with_members((0..entries).map(|entry| Member {
         centre: format!("centre-{}", entry % 4).into(),
@@ -88,15 +95,9 @@
         };
         holder.claim(Duration::from_millis(serial), claim);
     }
-    print(
-        "capacity.dispatch_claim",
-        &format!("{entries} entries"),
-        start,
-        CLAIMS,
-    );
+    nanos(start, CLAIMS)
 }
 
-fn print(figure: &str, case: &str, start: Instant, count: u64) {
-    let micros = start.elapsed().as_secs_f64() * 1e6 / count as f64;
-    Figure::new(figure, case, micros, "us").print();
+fn nanos(start: Instant, count: u64) -> f64 {
+    start.elapsed().as_secs_f64() * 1e9 / count as f64
 }
--- a/crates/steering/benches/capacity.rs
+++ b/crates/steering/benches/capacity.rs
@@ -22,7 +22,10 @@
     ServiceId,
     Steer, //
 };
-use standin::Figure;
+use standin::{
+    Figure,
+    Fit, //
+};
 
 /// Numbers of flows held.
 const HELD: [u64; 3] = [15_000, 60_000, 240_000];
@@ -33,6 +36,7 @@
 const NOW: Duration = Duration::from_secs(60);
 
 fn main() {
+    let (mut memories, mut times) = (Vec::new(), Vec::new());
     for held in HELD {
         let mut machine = machine(held);
         let case = format!("{held} flows held");
@@ -44,8 +48,10 @@
         }
         let time = start.elapsed().as_nanos() as f64 / count as f64;
         Figure::new("flows.packet_cost", &case, time, "ns/packet").print();
-        let bytes = machine.bytes() as f64 / 1024.0 / 1024.0;
-        Figure::new("flows.table", &case, bytes, "MiB").print();
+        let bytes = machine.bytes() as f64;
+        Figure::new("flows.table", &case, bytes / 1024.0 / 1024.0, "MiB").print();
+        memories.push((held as f64, bytes));
+        times.push((held as f64, time));
         let mut copies = Vec::new();
         let start = Instant::now();
         for second in 1..=20 {
@@ -54,6 +60,9 @@
         let tick = start.elapsed().as_micros() as f64 / 20.0;
         Figure::new("flows.background", &case, tick, "us a second").print();
     }
+    let case = "by flow held";
+    Fit::new(&memories).print("capacity.flows_memory", case, "B");
+    Fit::new(&times).print("capacity.flows_ns", case, "ns/packet");
 }
 
 fn machine(held: u64) -> Owners {
