An endpoint at its limit of connections gets no new flow

Cause: the document's limits.connections was read and not applied. Ruled out: the endpoint's reported load, which only pushes flows away by a little. Change: such an endpoint's share of new flows is 0. flow_full_endpoint failed before and passes after.

--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -193,7 +193,10 @@
                     id: known,
                     load: endpoint.load,
                     service: id,
-                    share: directory.weight(now, key),
+                    share: match endpoint.connections < service.limits.connections {
+                        true => directory.weight(now, key),
+                        false => 0,
+                    },
                     weight: u32::from(endpoint.slots)
                         .saturating_mul(service.weight(&endpoint.name)),
                 });
