--- a/crates/configuration/benches/capacity.rs
+++ b/crates/configuration/benches/capacity.rs
@@ -3,7 +3,6 @@
 #![allow(missing_docs, reason = "a benchmark has no public items")]
 
 use std::{
-    fs,
     hint::black_box,
     time::Instant, //
 };
@@ -15,7 +14,8 @@
 };
 use standin::{
     Figure,
-    Fit, //
+    Fit,
+    resident, //
 };
 
 /// Numbers of services.
@@ -27,17 +27,14 @@
 /// Changes that are timed at each size.
 const CHANGES: u32 = 400;
 
-/// Bytes in a page of memory.
-const PAGE_BYTES: f64 = 4096.0;
-
 fn main() {
     let (mut memories, mut times) = (Vec::new(), Vec::new());
     for size in SIZES {
-        let before = resident();
+        let before = resident().unwrap();
         let mut configuration = Configuration::new();
         let changed = (0..size / SECTION).map(|number| text(number, 0)).collect();
         apply(&mut configuration, change(1, true, changed));
-        memories.push((f64::from(size), resident() - before));
+        memories.push((f64::from(size), resident().unwrap() - before));
         let start = Instant::now();
         for turn in 0..CHANGES {
             let changed = vec![text(turn % (size / SECTION), turn)];
@@ -61,13 +58,6 @@
     Fit::new(&memories).print("capacity.configuration_memory", case, "B");
 }
 
-/// Resident memory of the process in bytes.
-fn resident() -> f64 {
-    let text = fs::read_to_string("/proc/self/statm").unwrap();
-    let pages = text.split(' ').nth(1).unwrap();
-    pages.parse::<f64>().unwrap() * PAGE_BYTES
-}
-
 fn apply(configuration: &mut Configuration, change: Change) {
     let prepared = configuration.prepare(change).unwrap();
     assert!(configuration.apply(prepared.unwrap()));
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -129,6 +129,11 @@
     }
 
     fn register(&mut self) {
+        self.register_control();
+        self.register_traffic();
+    }
+
+    fn register_control(&mut self) {
         let registry = &mut self.registry;
         registry.register(
             "claims_known",
@@ -145,6 +150,20 @@
             "Endpoints under a lease",
             self.endpoints.clone(),
         );
+        registry.register(
+            "instances",
+            "Other instances that are present",
+            self.instances.clone(),
+        );
+        registry.register(
+            "revision",
+            "Revision of the document in force",
+            self.revision.clone(),
+        );
+    }
+
+    fn register_traffic(&mut self) {
+        let registry = &mut self.registry;
         registry.register(
             "flow_bytes",
             "Bytes of flows copied to other entries",
@@ -160,11 +179,6 @@
             "Packets handed to other entries",
             self.handovers.clone(),
         );
-        registry.register(
-            "instances",
-            "Other instances that are present",
-            self.instances.clone(),
-        );
         registry.register(
             "packets",
             "Packets forwarded to endpoints",
@@ -176,10 +190,5 @@
             "Answered requests by service",
             self.requests.clone(),
         );
-        registry.register(
-            "revision",
-            "Revision of the document in force",
-            self.revision.clone(),
-        );
     }
 }
--- a/crates/directory/benches/capacity.rs
+++ b/crates/directory/benches/capacity.rs
@@ -29,7 +29,8 @@
 };
 use standin::{
     Figure,
-    Fit, //
+    Fit,
+    resident, //
 };
 
 /// Numbers of endpoints.
@@ -96,13 +97,6 @@
     length(vec![report]) - length(Vec::new())
 }
 
-/// Resident memory of the process in bytes.
-fn memory() -> f64 {
-    let text = fs::read_to_string("/proc/self/statm").unwrap();
-    let pages: f64 = text.split(' ').nth(1).unwrap().parse().unwrap();
-    pages * 4096.0
-}
-
 fn tick(directory: &mut Directory, now: &mut Duration) {
     for _ in 0..10 {
         *now += TICK;
@@ -177,7 +171,7 @@
 /// Bytes of memory for one endpoint's binding, from a directory that grows.
 fn memories() -> Vec<(f64, f64)> {
     let (mut directory, now) = (Directory::new(), Duration::from_secs(1));
-    let before = memory();
+    let before = resident().unwrap();
     let mut number = 0;
     let mut points = Vec::new();
     for size in SIZES.map(|size| size * 10) {
@@ -185,7 +179,7 @@
             directory.announce(now, report(number, 1)).unwrap();
             number += 1;
         }
-        points.push((f64::from(size), memory() - before));
+        points.push((f64::from(size), resident().unwrap() - before));
     }
     points
 }
--- a/crates/membership/benches/capacity.rs
+++ b/crates/membership/benches/capacity.rs
@@ -29,7 +29,8 @@
 };
 use standin::{
     Figure,
-    Fit, //
+    Fit,
+    resident, //
 };
 
 /// Numbers of instances in the data centre.
@@ -160,20 +161,13 @@
     }
 }
 
-/// Resident memory of the process in bytes.
-fn memory() -> f64 {
-    let text = fs::read_to_string("/proc/self/statm").unwrap();
-    let pages: f64 = text.split(' ').nth(1).unwrap().parse().unwrap();
-    pages * 4096.0
-}
-
 fn main() {
     let (mut times, mut bytes, mut memories) = (Vec::new(), Vec::new(), Vec::new());
     for size in SIZES {
         let count = f64::from(size);
-        let before = memory();
+        let before = resident().unwrap();
         let mut net = Net::new(size);
-        memories.push((count, (memory() - before).max(0.0) / count));
+        memories.push((count, (resident().unwrap() - before).max(0.0) / count));
         net.run(SETTLING);
         net.bytes = 0;
         let start = Instant::now();
--- a/crates/settings/src/change.rs
+++ b/crates/settings/src/change.rs
@@ -18,14 +18,14 @@
     /// Time that a draining endpoint has to finish what it holds, in milliseconds.
     pub drain_ms: u64,
     /// Time over which a new endpoint's share grows to the whole, in milliseconds; 0 for none.
-    pub slow_start_ms: u64,
+    pub slow_start: u64,
 }
 
 impl Default for Change {
     fn default() -> Self {
         Self {
             drain_ms: DRAIN_MS,
-            slow_start_ms: SLOW_START_MS,
+            slow_start: SLOW_START_MS,
         }
     }
 }
@@ -37,12 +37,7 @@
         let slow = 0..=3_600_000;
         Ok(Self {
             drain_ms: source.within(&raw.drain_ms, "drain_ms", drain, DRAIN_MS)?,
-            slow_start_ms: source.within(
-                &raw.slow_start_ms,
-                "slow_start_ms",
-                slow,
-                SLOW_START_MS,
-            )?,
+            slow_start: source.within(&raw.slow_start, "slow_start_ms", slow, SLOW_START_MS)?,
         })
     }
 }
--- a/crates/settings/src/raw.rs
+++ b/crates/settings/src/raw.rs
@@ -196,7 +196,8 @@
     /// Time that a draining endpoint has, in milliseconds.
     pub drain_ms: Option<Spanned<u64>>,
     /// Time over which a new endpoint's share grows, in milliseconds.
-    pub slow_start_ms: Option<Spanned<u64>>,
+    #[serde(rename = "slow_start_ms")]
+    pub slow_start: Option<Spanned<u64>>,
 }
 
 /// How much of a service is taken at once.
--- a/crates/settings/tests/service.rs
+++ b/crates/settings/tests/service.rs
@@ -75,7 +75,7 @@
     let service = service(&text);
     let change = Change {
         drain_ms: 60_000,
-        slow_start_ms: 0,
+        slow_start: 0,
     };
     let limits = Limits {
         body_bytes: 1_000,
--- a/crates/store/benches/capacity.rs
+++ b/crates/store/benches/capacity.rs
@@ -3,7 +3,6 @@
 #![allow(missing_docs, reason = "a benchmark has no public items")]
 
 use std::{
-    fs,
     hint::black_box,
     time::Instant, //
 };
@@ -16,7 +15,8 @@
 };
 use standin::{
     Figure,
-    Fit, //
+    Fit,
+    resident, //
 };
 
 /// Numbers of sections.
@@ -28,18 +28,15 @@
 /// Edits that are timed at each size.
 const EDITS: u32 = 50;
 
-/// Bytes in a page of memory.
-const PAGE_BYTES: f64 = 4096.0;
-
 fn main() {
     let (mut memories, mut times) = (Vec::new(), Vec::new());
     for size in SIZES {
-        let before = resident();
+        let before = resident().unwrap();
         let mut ledger = Ledger::new();
         for section in 0..size {
             accept(&mut ledger, &edit(section, 0));
         }
-        memories.push((f64::from(size), resident() - before));
+        memories.push((f64::from(size), resident().unwrap() - before));
         let start = Instant::now();
         for section in 0..EDITS {
             accept(&mut ledger, &edit(section, 1));
@@ -60,13 +57,6 @@
     assert!(matches!(outcome, Outcome::Accepted { .. }), "{outcome:?}");
 }
 
-/// Resident memory of the process in bytes.
-fn resident() -> f64 {
-    let text = fs::read_to_string("/proc/self/statm").unwrap();
-    let pages = text.split(' ').nth(1).unwrap();
-    pages.parse::<f64>().unwrap() * PAGE_BYTES
-}
-
 fn edit(section: u32, version: u32) -> Edit {
     let mut text = format!("team = \"team-{section}\"\n");
     for service in section * SECTION..(section + 1) * SECTION {
--- a/examples/standin/src/lib.rs
+++ b/examples/standin/src/lib.rs
@@ -12,6 +12,7 @@
 mod fit;
 mod forwarder;
 mod http;
+mod memory;
 
 pub use crate::{
     announcer::Announcer,
@@ -41,4 +42,5 @@
         call,
         call_within, //
     },
+    memory::resident,
 };
--- /dev/null
+++ b/examples/standin/src/memory.rs
@@ -0,0 +1,21 @@
+//! The memory of the running process.
+
+use std::{
+    fs,
+    io, //
+};
+
+/// Bytes in a page of memory.
+const PAGE_BYTES: f64 = 4096.0;
+
+/// Resident memory of the running process in bytes.
+///
+/// # Errors
+///
+/// What the system reported.
+pub fn resident() -> io::Result<f64> {
+    let text = fs::read_to_string("/proc/self/statm")?;
+    let pages = text.split(' ').nth(1).unwrap_or_default();
+    let pages: f64 = pages.parse().map_err(io::Error::other)?;
+    Ok(pages * PAGE_BYTES)
+}
