--- a/crates/directory/benches/capacity.rs
+++ b/crates/directory/benches/capacity.rs
@@ -4,7 +4,6 @@
 //! here and is passed on to one entry of the data centre and one of each of three others.
 
 use std::{
-    fs,
     net::{
         Ipv4Addr,
         SocketAddr, //
--- a/crates/membership/benches/capacity.rs
+++ b/crates/membership/benches/capacity.rs
@@ -5,7 +5,6 @@
 
 use std::{
     collections::BTreeMap,
-    fs,
     net::{
         Ipv4Addr,
         SocketAddr, //
