--- a/crates/codes/src/lib.rs
+++ b/crates/codes/src/lib.rs
@@ -87,6 +87,8 @@
     FlowNoEndpoint = 2005, Not, "No endpoint may take the new flow.";
     FlowTableFull = 2006, Not, "The flow table is full; the new flow was refused.";
     FlowEndpointGone = 2007, May, "The flow's endpoint is gone; the flow was reset.";
+    FlowUnknown = 2008, May, "The packet belongs to a flow whose endpoint is not known here.";
+    PacketMalformed = 2009, Not, "A packet's fields contradict each other or its length.";
     RequestMalformed = 3001, Not, "The request is not well-formed HTTP/1.1.";
     RequestService = 3002, Not, "No service has the request's host.";
     RequestNoEndpoint = 3003, Not, "No endpoint is ready to serve the request.";
@@ -103,6 +105,8 @@
     AnnouncementMalformed = 4001, Not, "The announcement is not valid JSON of the expected form.";
     AnnouncementStale = 4002, Not, "A later announcement of the endpoint is already known.";
     AnnouncementConflict = 4003, Not, "The address is still held by another endpoint.";
+    AnnouncementUnsafe = 4004, Not, "The announcement could not be copied to another store in time.";
+    CallUnknown = 4005, Not, "There is no such call.";
     EditConflict = 5001, Not, "The section has changed since the edit's base version.";
     EditInvalid = 5002, Not, "The document would not be valid after the edit.";
     EditForbidden = 5003, Not, "The key may not edit this section.";
@@ -115,6 +119,9 @@
     Unauthenticated = 5010, Not, "The key is missing or not known.";
     SectionUnknown = 5011, Not, "There is no such section or version.";
     MembersRefused = 5012, Not, "The members cannot be changed in this way now.";
+    PublicationInvalid = 5013, Not, "The document is not valid.";
+    PublicationConflict = 5014, Not, "Another document is in force under the same version.";
+    PublicationUnknown = 5015, May, "What became of the document is not known; send it again.";
     MessageMalformed = 6001, Not, "A message between instances could not be decoded.";
     InstanceUnreachable = 6002, Not, "An instance could not be reached.";
 }
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -20,6 +20,7 @@
         HeaderValue, //
     },
 };
+use process::Handler;
 use serde::{
     Serialize,
     de::DeserializeOwned, //
@@ -35,7 +36,6 @@
     convert_change,
     datagrams,
     endpoints,
-    http::Handler,
     members::{
         self,
         Refused, //
--- a/crates/daemon/src/auth.rs
+++ b/crates/daemon/src/auth.rs
@@ -3,10 +3,7 @@
 use std::{
     fs,
     io,
-    net::{
-        IpAddr,
-        SocketAddr, //
-    },
+    net::IpAddr,
     path::Path,
     sync::Arc, //
 };
@@ -18,6 +15,7 @@
     Request,
     header::AUTHORIZATION, //
 };
+use process::Peer;
 use ring::digest::{
     SHA256,
     digest, //
@@ -44,10 +42,6 @@
     refusal::Refusal, //
 };
 
-/// Address of the caller of a request, kept among its extensions.
-#[derive(Clone, Copy, Debug)]
-pub struct Peer(pub SocketAddr);
-
 /// Who calls.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Caller {
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -34,6 +34,7 @@
 use crate::{
     convert_change,
     node::Node,
+    replicated,
     stores, //
 };
 
@@ -202,7 +203,7 @@
     loop {
         let listener = node.changed.listen();
         let revision = node.configuration.borrow().revision();
-        let update = replica.borrow().update(revision);
+        let update = replicated::update(&replica.borrow(), revision);
         let next = update.map(|update| {
             let change = convert_change::update(update);
             node.configuration.borrow().prepare(change)
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -22,7 +22,8 @@
 
 use crate::{
     node::Node,
-    proposals, //
+    proposals,
+    replicated, //
 };
 
 /// Pause between two looks at the members.
@@ -41,7 +42,7 @@
 /// `NoLeader` if this instance is not a store.
 pub fn show(node: &Node) -> Result<LogMembers, Refused> {
     match &node.replica {
-        Some(replica) => Ok(replica.borrow().members(node.now())),
+        Some(replica) => Ok(replicated::members(&replica.borrow(), node.now())),
         None => Err((Code::NoLeader, "this instance is not a store".into())),
     }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -21,8 +21,14 @@
 };
 use event_listener::Event;
 use membership::Members;
+use process::Stop;
+use replica::Replica;
 use settings::Settings;
-use store::Folder;
+use store::{
+    Folder,
+    StoreId,
+    Timing, //
+};
 use wire::Addresses;
 
 use crate::{
@@ -32,11 +38,9 @@
     convert_member,
     error::Error,
     metrics::Metrics,
-    replica::Replica,
     router::Router,
     services::Services,
-    spread::Spread,
-    stop::Stop, //
+    spread::Spread, //
 };
 
 /// What all tasks of the process share. No borrow of a cell is held across an await.
@@ -75,7 +79,7 @@
     /// The document's way to this instance.
     pub spread: Spread,
     /// The planned stop.
-    pub stop: Stop,
+    pub stop: Rc<Stop>,
     start: Instant,
 }
 
@@ -88,7 +92,8 @@
     pub fn new(settings: Settings, addresses: Addresses) -> Result<(Self, Option<Folder>), Error> {
         let (replica, folder) = match &settings.data {
             Some(path) => {
-                let (replica, folder) = Replica::open(path)?;
+                let (replica, folder) =
+                    Replica::open(path, StoreId(rand::random()), Timing::new())?;
                 (Some(RefCell::new(replica)), Some(folder))
             }
             None => (None, None),
@@ -123,7 +128,7 @@
             socket: OnceCell::new(),
             spread: Spread::default(),
             start: Instant::now(),
-            stop: Stop::default(),
+            stop: Rc::default(),
         };
         Ok((node, folder))
     }
--- a/crates/daemon/src/proposals.rs
+++ b/crates/daemon/src/proposals.rs
@@ -102,7 +102,9 @@
         Ok(Ok(Answer::Changed)) => Decision::Changed,
         Ok(Ok(Answer::Outcome(outcome))) => Decision::Outcome(convert::outcome(outcome)),
         Ok(Ok(Answer::Refused(code, advice))) => Decision::Refused(code, advice),
-        Ok(Err(_)) | Err(_) => unknown("the store did not answer in time"),
+        Ok(Ok(Answer::Current | Answer::Published(_)) | Err(_)) | Err(_) => {
+            unknown("the store did not answer in time")
+        }
     }
 }
 
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -14,10 +14,10 @@
         Incoming, //
     },
 };
+use process::Handler;
 
 use crate::{
     attempt,
-    http::Handler,
     job::{
         self,
         Job, //
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -17,6 +17,10 @@
     ParsingStyle, //
 };
 use miette::Report;
+use process::{
+    Signal,
+    Signals, //
+};
 use settings::Settings;
 use signal_hook::{
     consts::SIGXFSZ,
@@ -25,22 +29,20 @@
 
 use crate::{
     admin::Admin,
+    around,
     claims,
     datagrams,
-    driver,
     error::Error,
     exit::Exit,
     fabric,
     flows,
     follower,
-    http,
     inner,
     listeners::Listeners,
     logs,
     node::Node,
     options::Options,
-    requests::Requests,
-    signals::Signals, //
+    requests::Requests, //
 };
 
 /// Runs the daemon as the command line says.
@@ -120,12 +122,12 @@
     if let Some(folder) = folder {
         // With a handler, a write behind a file's largest size fails and does not end the process.
         flag::register(SIGXFSZ, Arc::default()).map_err(Error::Runtime)?;
-        spawn(driver::run(node.clone(), folder)).detach();
+        spawn(around::run(node.clone(), folder)).detach();
     }
     spawn(inner::accept(node.clone(), listeners.calls)).detach();
     spawn(follower::follow(node.clone())).detach();
     spawn(stop_on_signal(node.clone(), signals)).detach();
-    let admin = http::serve(node.clone(), listeners.admin, Admin::new(node.clone()));
+    let admin = process::serve(node.stop.clone(), listeners.admin, Admin::new(node.clone()));
     let admin = spawn(admin);
     let asked = listeners.faces.is_some() && claims::ask_unused(&node).await;
     let callers = listeners.faces.map(|faces| {
@@ -134,7 +136,7 @@
         spawn(fabric::forward(node.clone(), fabric.clone())).detach();
         let flows = spawn(flows::tend(node.clone(), fabric));
         let handler = Requests::new(node.clone());
-        let requests = spawn(http::serve(node.clone(), faces.requests, handler));
+        let requests = spawn(process::serve(node.stop.clone(), faces.requests, handler));
         (flows, requests)
     });
     if let Ok(line) = serde_json::to_string(&node.addresses) {
@@ -153,14 +155,16 @@
 }
 
 async fn stop_on_signal(node: Rc<Node>, mut signals: Signals) {
-    if let Err(error) = signals.next().await {
-        log::error!("no signals can be received: {error}");
-        return;
-    }
-    log::info!("stopping");
-    node.stop.begin();
-    datagrams::leave(&node).await;
-    while signals.next().await.is_ok() {
-        log::info!("already stopping");
+    loop {
+        match signals.next().await {
+            Ok(Signal::Reload) => log::info!("the settings are read at the start only"),
+            Ok(Signal::Stop) if node.stop.begun() => log::info!("already stopping"),
+            Ok(Signal::Stop) => {
+                log::info!("stopping");
+                node.stop.begin();
+                datagrams::leave(&node).await;
+            }
+            Err(error) => return log::error!("no signals can be received: {error}"),
+        }
     }
 }
--- a/crates/daemon/src/spread.rs
+++ b/crates/daemon/src/spread.rs
@@ -8,6 +8,7 @@
 
 use distribution::Follower;
 use event_listener::Event;
+use replica::Replica;
 use wire::{
     Follow,
     Followed, //
@@ -15,7 +16,7 @@
 
 use crate::{
     published::Published,
-    replica::Replica, //
+    replicated, //
 };
 
 /// The document's way from the stores to this instance and on.
@@ -44,7 +45,7 @@
     /// Takes note of what has changed in this store's replica, so that followers are sent no more.
     pub fn record(&self, replica: &Replica) {
         let mut published = self.published.borrow_mut();
-        if let Some(update) = replica.update(published.revision()) {
+        if let Some(update) = replicated::update(replica, published.revision()) {
             published.record(update);
         }
     }
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -24,7 +24,8 @@
 
 use crate::{
     convert_member,
-    node::Node, //
+    node::Node,
+    replicated, //
 };
 
 /// Time after which an instance that does not answer counts as silent.
@@ -44,7 +45,7 @@
         log: node
             .replica
             .as_ref()
-            .map(|replica| replica.borrow().members(node.now())),
+            .map(|replica| replicated::members(&replica.borrow(), node.now())),
         ready: node.ready(),
         refusals: node.metrics.refused(),
         revision: node.configuration.borrow().revision(),
--- /dev/null
+++ b/crates/edge/src/control.rs
@@ -0,0 +1,235 @@
+//! The calls of endpoints and operators that a store answers.
+
+use std::{
+    marker::PhantomData,
+    rc::Rc,
+    time::Duration, //
+};
+
+use announcements::{
+    Announcement,
+    State, //
+};
+use codes::Code;
+use http_body_util::{
+    BodyExt as _,
+    Full,
+    Limited, //
+};
+use hyper::{
+    Request, Response,
+    body::{
+        Bytes,
+        Incoming, //
+    },
+    http::request::Parts,
+};
+use process::Handler;
+use store::{
+    Answer,
+    Event,
+    Publication,
+    Published,
+    Token, //
+};
+
+use crate::{
+    border::{
+        Border,
+        Call,
+        Reply, //
+    },
+    stock::Stock,
+};
+
+/// Largest body of a call, in bytes: a document of several thousand routes.
+const BODY_BYTES: usize = 4 * 1024 * 1024;
+
+/// Time within which a call is answered: callers turn to another store after a second.
+const ANSWER: Duration = Duration::from_millis(800);
+
+/// Why a call was not carried out.
+type Refused = (Code, Box<str>);
+
+/// The face that endpoints and operators call.
+#[derive(Debug)]
+pub struct Control<B> {
+    border: PhantomData<B>,
+    stock: Rc<Stock>,
+}
+
+impl<B> Control<B> {
+    /// Creates the face of a store.
+    pub const fn new(stock: Rc<Stock>) -> Self {
+        Self {
+            border: PhantomData,
+            stock,
+        }
+    }
+}
+
+impl<B> Clone for Control<B> {
+    fn clone(&self) -> Self {
+        Self::new(self.stock.clone())
+    }
+}
+
+impl<B: Border> Handler for Control<B> {
+    type Body = Full<Bytes>;
+
+    fn handle(
+        &self,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Response<Self::Body>> + 'static {
+        let stock = self.stock.clone();
+        async move {
+            let (parts, body) = request.into_parts();
+            let result = answer::<B>(&stock, &parts, body).await;
+            B::answer(&parts, result)
+        }
+    }
+}
+
+async fn answer<B: Border>(stock: &Stock, parts: &Parts, body: Incoming) -> Result<Reply, Refused> {
+    let body = Limited::new(body, BODY_BYTES).collect().await;
+    let body = body.map_err(|error| (Code::CallUnknown, error.to_string().into()))?;
+    let body = body.to_bytes();
+    match B::call(parts, &body)? {
+        Call::Announce(announcement) => announce::<B>(stock, announcement).await,
+        Call::Depart(name, incarnation) => depart(stock, &name, incarnation).await,
+        Call::Publish => publish::<B>(stock, body).await,
+        Call::Read => read(stock).await,
+    }
+}
+
+async fn announce<B: Border>(stock: &Stock, own: Announcement) -> Result<Reply, Refused> {
+    if B::tag(&own.name).is_none() {
+        let advice = format!("`{}` is no endpoint's name", own.name);
+        return Err((Code::AnnouncementMalformed, advice.into()));
+    }
+    let now = stock.clock.now();
+    let (name, state) = (own.name.clone(), own.state);
+    let before = stock.registry.borrow().count();
+    stock.registry.borrow_mut().announce(now, own);
+    let changed = stock.registry.borrow().changed(now, before);
+    if let Some(record) = changed
+        .iter()
+        .find(|record| record.announcement.name == name)
+    {
+        let own = &record.announcement;
+        log::info!(
+            endpoint = &*name, service = &*own.service, address = own.address.to_string(),
+            incarnation = own.incarnation, sequence = own.sequence, state = format!("{state:?}"),
+            departed = record.departed;
+            "an endpoint has changed"
+        );
+    }
+    if !changed.is_empty() {
+        stock.announce();
+    }
+    match state {
+        State::Draining => copied(stock).await,
+        State::Ready => Ok(Reply::Done),
+    }
+}
+
+async fn depart(stock: &Stock, name: &str, incarnation: Option<u64>) -> Result<Reply, Refused> {
+    let now = stock.clock.now();
+    let known = stock.registry.borrow().get(name).is_some();
+    if !known {
+        return Err((
+            Code::AnnouncementUnsafe,
+            "this store does not know it yet".into(),
+        ));
+    }
+    let change = stock.registry.borrow_mut().depart(now, name, incarnation);
+    log::info!(endpoint = name, incarnation, change; "an endpoint has left");
+    stock.announce();
+    copied(stock).await
+}
+
+/// Waits until enough other stores have what this one has: the loss of as many as may be lost, this
+/// one among them, loses nothing.
+async fn copied(stock: &Stock) -> Result<Reply, Refused> {
+    let change = stock.registry.borrow().count();
+    let until = stock.clock.now() + ANSWER;
+    loop {
+        let listener = stock.copied.listen();
+        if stock.peers.borrow().copies(change) >= stock.settings.losses {
+            return Ok(Reply::Done);
+        }
+        let left = until.saturating_sub(stock.clock.now());
+        if left.is_zero() || compio::time::timeout(left, listener).await.is_err() {
+            let advice = "no other store took a copy in time";
+            return Err((Code::AnnouncementUnsafe, advice.into()));
+        }
+    }
+}
+
+async fn publish<B: Border>(stock: &Stock, body: Bytes) -> Result<Reply, Refused> {
+    let document = B::document(&body)?;
+    let publication = Publication {
+        bytes: body.as_ref().into(),
+        version: document.version,
+    };
+    let version = document.version;
+    let known = stock.replica.borrow().ledger().compare(&publication);
+    let published = match known {
+        Some(known) => known,
+        None => match ask(stock, |token| Event::Publish(publication, token)).await? {
+            Asked::Elsewhere(reply) => return Ok(reply),
+            Asked::Here(Answer::Published(published)) => published,
+            Asked::Here(_) => return Err(lost()),
+        },
+    };
+    log::info!(version, outcome = format!("{published:?}"); "a document was published");
+    match published {
+        Published::Accepted | Published::Repeated | Published::Superseded => Ok(Reply::Done),
+        Published::Conflict => {
+            let advice = format!("version {version} is held by another document");
+            Err((Code::PublicationConflict, advice.into()))
+        }
+    }
+}
+
+async fn read(stock: &Stock) -> Result<Reply, Refused> {
+    match ask(stock, Event::Read).await? {
+        Asked::Elsewhere(reply) => Ok(reply),
+        Asked::Here(Answer::Current) => {
+            let replica = stock.replica.borrow();
+            match replica.ledger().published() {
+                Some(held) => Ok(Reply::Document(Bytes::copy_from_slice(&held.bytes))),
+                None => Err((Code::NoLeader, "nothing was published yet".into())),
+            }
+        }
+        Asked::Here(_) => Err(lost()),
+    }
+}
+
+/// Who decides a request.
+enum Asked {
+    Elsewhere(Reply),
+    Here(Answer),
+}
+
+/// Asks the group, if this store leads it.
+async fn ask(stock: &Stock, event: impl FnOnce(Token) -> Event) -> Result<Asked, Refused> {
+    if !stock.replica.borrow().raft().leads() {
+        let advice = "no leader is known";
+        let leader = stock.leader().ok_or((Code::NoLeader, advice.into()))?;
+        return Ok(Asked::Elsewhere(Reply::Elsewhere(leader)));
+    }
+    let receiver = stock.replica.borrow_mut().submit(event);
+    match compio::time::timeout(ANSWER, receiver).await {
+        Ok(Ok(Answer::Refused(code, advice))) => Err((code, advice)),
+        Ok(Ok(answer)) => Ok(Asked::Here(answer)),
+        Ok(Err(_)) | Err(_) => Err(lost()),
+    }
+}
+
+fn lost() -> Refused {
+    (
+        Code::PublicationUnknown,
+        "the group did not answer in time".into(),
+    )
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,49 @@
+//! Entries and stores of a deployment whose flows carry a reference to their endpoint.
+//!
+//! A [`Border`] translates what a platform speaks; the rest knows none of its words. All tasks of a
+//! process run on one thread. The decisions are made by the state machines of the packages
+//! `announcements`, `placement` and `store`; this one moves bytes between them and the sockets, the
+//! disk and the clock.
+
+mod border;
+mod clock;
+mod control;
+mod document;
+mod entry;
+mod error;
+mod follow;
+mod frames;
+mod links;
+mod logs;
+mod message;
+mod peers;
+mod ready;
+mod refusals;
+mod reload;
+mod run;
+mod serve;
+mod settings;
+mod stock;
+mod store;
+mod view;
+
+pub use crate::{
+    border::{
+        Border,
+        Call,
+        Kind,
+        Packet,
+        Reply, //
+    },
+    document::{
+        Document,
+        Route,
+        Share, //
+    },
+    error::Error,
+    run::run,
+    settings::{
+        Role,
+        Settings, //
+    },
+};
--- /dev/null
+++ b/crates/edge/src/run.rs
@@ -0,0 +1,41 @@
+//! Starting, running and stopping a process.
+
+use std::{
+    path::Path,
+    process::ExitCode, //
+};
+
+use compio::runtime::Runtime;
+
+use crate::{
+    border::Border,
+    entry,
+    error::Error,
+    logs,
+    settings::{
+        Role,
+        Settings, //
+    },
+    store, //
+};
+
+/// Runs the process as its settings file says, with the words of a platform.
+pub fn run<B: Border>(path: &Path) -> ExitCode {
+    match start::<B>(path) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("mimosausher: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start<B: Border>(path: &Path) -> Result<(), Error> {
+    let settings = Settings::read(path)?;
+    let _log = logs::start()?;
+    let runtime = Runtime::new().map_err(Error::Runtime)?;
+    match settings.role {
+        Role::Entry => runtime.block_on(entry::serve::<B>(settings, path)),
+        Role::Store => runtime.block_on(store::serve::<B>(settings, path)),
+    }
+}
--- /dev/null
+++ b/crates/edge/src/serve.rs
@@ -0,0 +1,211 @@
+//! What a store tells entries, and takes from other stores.
+
+use std::{
+    io,
+    net::SocketAddr,
+    pin::pin,
+    rc::Rc,
+    time::Duration, //
+};
+
+use compio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    runtime::spawn,
+};
+use futures::future::{
+    Either,
+    select, //
+};
+use store::{
+    Event,
+    Member,
+    Message, //
+};
+
+use crate::{
+    frames::{
+        Receiver,
+        Sender,
+        frames, //
+    },
+    links,
+    message::{
+        Gossip,
+        Hello,
+        Push,
+        Receipt,
+        Sight, //
+    },
+    stock::{
+        Reported,
+        Stock, //
+    },
+};
+
+/// Time between two frames to an entry if nothing has to be told at once.
+const BEAT: Duration = Duration::from_millis(500);
+
+/// Time for which changes are gathered before entries are told of them.
+const GATHER: Duration = Duration::from_millis(20);
+
+/// Pause after a failure to accept a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts connections of entries and other stores until the process ends.
+pub async fn accept(stock: Rc<Stock>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                spawn(answer(stock.clone(), stream, peer)).detach();
+            }
+            Err(error) => {
+                log::warn!("a connection could not be accepted: {error}");
+                compio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn answer(stock: Rc<Stock>, stream: TcpStream, peer: SocketAddr) {
+    let (sender, mut receiver) = frames::<Receipt, Hello>(stream);
+    let ended = match receiver.next().await {
+        Ok(Hello::Entry { name, version }) => {
+            entry(&stock, &name, version, sender.turn(), receiver.turn()).await
+        }
+        Ok(Hello::Store(member)) => gossip(&stock, &member, sender, receiver.turn()).await,
+        Err(error) => Err(error),
+    };
+    if let Err(error) = ended {
+        log::debug!("the connection of {peer} has ended: {error}");
+    }
+}
+
+async fn entry(
+    stock: &Stock,
+    name: &str,
+    version: u64,
+    sender: Sender<Push>,
+    receiver: Receiver<Sight>,
+) -> io::Result<()> {
+    let pushing = pin!(push(stock, name, version, sender));
+    let looking = pin!(look(stock, name, receiver));
+    match select(pushing, looking).await {
+        Either::Left((result, _)) | Either::Right((result, _)) => result,
+    }
+}
+
+/// Tells an entry of all that it lacks.
+async fn push(
+    stock: &Stock,
+    name: &str,
+    mut version: u64,
+    mut sender: Sender<Push>,
+) -> io::Result<()> {
+    let mut told = 0;
+    let mut stores = Vec::new();
+    let mut beat = Duration::ZERO;
+    loop {
+        let listener = stock.changed.listen();
+        let now = stock.clock.now();
+        let known: Vec<_> = stock.peers.borrow().addresses().collect();
+        let document = stock.document.borrow().clone();
+        let document = document.filter(|document| document.version > version);
+        let records = stock.registry.borrow().changed(now, told);
+        let news = document.is_some() || !records.is_empty();
+        if news || now >= beat {
+            told = stock.registry.borrow().count();
+            version = document
+                .as_ref()
+                .map_or(version, |document| document.version);
+            let frame = Push {
+                current: stock.replica.borrow().raft().current(now),
+                document: document.map(|document| (*document).clone()),
+                loads: stock.elsewhere(name),
+                records,
+                stores: match known == stores {
+                    true => Vec::new(),
+                    false => known.clone(),
+                },
+            };
+            sender.send(&frame).await?;
+            stores = known;
+            beat = now + BEAT;
+        }
+        let left = beat.saturating_sub(stock.clock.now());
+        if compio::time::timeout(left, listener).await.is_ok() {
+            compio::time::sleep(GATHER).await;
+        }
+    }
+}
+
+/// Takes what an entry sees.
+async fn look(stock: &Stock, name: &str, mut receiver: Receiver<Sight>) -> io::Result<()> {
+    loop {
+        let sight = receiver.next().await?;
+        if sight.reports {
+            let now = stock.clock.now();
+            let mut loads = stock.loads.borrow_mut();
+            loads.insert(
+                name.into(),
+                Reported {
+                    at: now,
+                    loads: sight.loads,
+                },
+            );
+        }
+    }
+}
+
+/// Takes what another store tells.
+async fn gossip(
+    stock: &Rc<Stock>,
+    member: &Member,
+    mut sender: Sender<Receipt>,
+    mut receiver: Receiver<Gossip>,
+) -> io::Result<()> {
+    let SocketAddr::V4(address) = member.address else {
+        return Err(io::ErrorKind::InvalidData.into());
+    };
+    links::learn(stock, [address]);
+    loop {
+        let gossip = receiver.next().await?;
+        let upto = gossip.upto;
+        take(stock, member, address, gossip);
+        sender.send(&Receipt { upto }).await?;
+    }
+}
+
+fn take(stock: &Rc<Stock>, member: &Member, address: std::net::SocketAddrV4, gossip: Gossip) {
+    let now = stock.clock.now();
+    links::learn(stock, gossip.stores);
+    if let Some(peer) = stock.peers.borrow_mut().get_mut(address) {
+        peer.seen = now;
+        if let Some(loads) = gossip.loads {
+            peer.loads = (now, loads);
+        }
+    }
+    let before = stock.registry.borrow().count();
+    for record in gossip.records {
+        stock.registry.borrow_mut().merge(now, record);
+    }
+    let news = !stock.registry.borrow().changed(now, before).is_empty();
+    let mut replica = stock.replica.borrow_mut();
+    for bytes in gossip.log {
+        match Message::decode(&bytes) {
+            Some(message) => replica.receive(member.address, message),
+            None => {
+                log::warn!(store = member.name.to_string(); "a message of the log cannot be read")
+            }
+        }
+    }
+    if let Some(member) = gossip.join {
+        replica.push(Event::Join(member));
+    }
+    drop(replica);
+    if news {
+        stock.announce();
+    }
+}
--- /dev/null
+++ b/crates/edge/src/view.rs
@@ -0,0 +1,279 @@
+//! What an entry knows: routes, endpoints, and what each store that it follows says of them.
+
+use std::{
+    collections::{
+        BTreeSet,
+        HashMap, //
+    },
+    net::SocketAddrV4,
+    time::Duration, //
+};
+
+use announcements::{
+    Record,
+    Registry,
+    State, //
+};
+use codes::Code;
+use placement::{
+    Endpoint,
+    EndpointKey,
+    FlowKey,
+    Load,
+    Phase,
+    Pool,
+    Reference,
+    Target, //
+};
+use rand::Rng;
+
+use crate::{
+    border::{
+        Kind,
+        Packet, //
+    },
+    document::Document,
+    message::{
+        Loaded,
+        Push, //
+    },
+};
+
+/// Stores that an entry follows at once: one may be cut off from the others without knowing.
+pub const SOURCES: usize = 2;
+
+/// What one followed store says.
+#[derive(Clone, Debug, Default)]
+struct Source {
+    /// Whether the store is followed now.
+    live: bool,
+    /// Endpoints that it has not heard of lately.
+    silent: BTreeSet<Box<str>>,
+}
+
+/// What an entry knows.
+#[derive(Debug)]
+pub struct View {
+    /// Its own data centre.
+    centre: Box<str>,
+    /// Whether a store that was current has told all that it knew.
+    confirmed: bool,
+    /// The endpoints and flows.
+    pool: Pool,
+    /// What was announced; keeps older records from replacing later ones.
+    registry: Registry,
+    routes: HashMap<SocketAddrV4, Box<[Target]>>,
+    sources: [Source; SOURCES],
+    /// Version of the document in force; 0 if there is none.
+    version: u64,
+}
+
+impl View {
+    /// Creates the view of an entry that knows nothing yet.
+    pub fn new(centre: &str) -> Self {
+        Self {
+            centre: centre.into(),
+            confirmed: false,
+            pool: Pool::new(),
+            // Silence is the stores' to tell: an entry hears of an endpoint only when it changes.
+            registry: Registry::new(Duration::MAX / 4),
+            routes: HashMap::new(),
+            sources: Default::default(),
+            version: 0,
+        }
+    }
+
+    /// The endpoints and flows.
+    pub const fn pool(&self) -> &Pool {
+        &self.pool
+    }
+
+    /// Version of the document in force; 0 if there is none.
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Whether the entry can forward: it has a document that was the latest after its start, and
+    /// knows an endpoint that takes flows.
+    pub fn ready(&self) -> bool {
+        let usable = self
+            .pool
+            .iter()
+            .any(|endpoint| matches!(endpoint.phase, Phase::Ready | Phase::Silent));
+        self.confirmed && self.version > 0 && usable
+    }
+
+    /// Takes in what a followed store says; returns whether a later document came into force.
+    pub fn take(
+        &mut self,
+        now: Duration,
+        source: usize,
+        push: Push,
+        tag: impl Fn(&str) -> Option<u64>,
+    ) -> bool {
+        let later = push
+            .document
+            .filter(|document| document.version > self.version);
+        let renewed = later.is_some();
+        if let Some(document) = later {
+            self.enforce(&document);
+        }
+        let names: Vec<_> = push
+            .records
+            .iter()
+            .map(|record| record.announcement.name.clone())
+            .collect();
+        if let Some(source) = self.sources.get_mut(source) {
+            source.live = true;
+        }
+        for record in push.records {
+            self.merge(now, source, record);
+        }
+        for name in names {
+            self.refresh(now, &name, &tag);
+        }
+        for loaded in push.loads {
+            self.share(loaded);
+        }
+        self.confirmed |= push.current && self.version > 0;
+        renewed
+    }
+
+    /// Notes that a store is followed no longer: its word on silence counts no more.
+    pub fn lose(&mut self, now: Duration, source: usize, tag: impl Fn(&str) -> Option<u64>) {
+        let Some(source) = self.sources.get_mut(source) else {
+            return;
+        };
+        source.live = false;
+        let names = std::mem::take(&mut source.silent);
+        for name in names {
+            self.refresh(now, &name, &tag);
+        }
+    }
+
+    /// Forgets what is over; to be called a few times a second.
+    pub fn tick(&mut self, now: Duration) {
+        self.pool.tick(now);
+        self.registry.tick(now);
+        let registry = &self.registry;
+        let gone: Vec<_> = self
+            .pool
+            .iter()
+            .filter(|endpoint| registry.get(&endpoint.name).is_none())
+            .map(|endpoint| endpoint.name.clone())
+            .collect();
+        for name in gone {
+            self.pool.forget(&name);
+        }
+    }
+
+    /// Finds the endpoint that gets a packet.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::PacketAddress`] if no route has the packet's destination, and what the pool refuses.
+    pub fn route(
+        &mut self,
+        now: Duration,
+        packet: &Packet,
+        random: &mut impl Rng,
+    ) -> Result<EndpointKey, Code> {
+        match packet.kind {
+            Kind::Later => self
+                .pool
+                .pass(now, packet.flow, packet.reference, packet.progress),
+            Kind::Open(_) => {
+                let FlowKey { route, .. } = packet.flow;
+                let targets = self.routes.get(&route).ok_or(Code::PacketAddress)?;
+                self.pool.open(now, packet.flow, targets, random)
+            }
+        }
+    }
+
+    /// Loads of the endpoints that this entry's own flows use.
+    pub fn loads(&self) -> Vec<Loaded> {
+        let used = self
+            .pool
+            .iter()
+            .filter(|endpoint| endpoint.own() != Load::default());
+        used.map(|endpoint| Loaded {
+            busy: endpoint.own().busy,
+            flows: endpoint.own().flows,
+            reference: endpoint.reference.number(),
+        })
+        .collect()
+    }
+
+    fn enforce(&mut self, document: &Document) {
+        self.version = document.version;
+        let pool = &mut self.pool;
+        let keys: Vec<_> = document
+            .services
+            .iter()
+            .map(|name| pool.service(name))
+            .collect();
+        self.routes = document
+            .routes
+            .iter()
+            .map(|route| {
+                let shares = route.shares.iter();
+                let targets = shares.filter_map(|share| {
+                    Some(Target {
+                        service: *keys.get(usize::from(share.service))?,
+                        weight: share.weight,
+                    })
+                });
+                (route.address, targets.collect())
+            })
+            .collect();
+    }
+
+    fn merge(&mut self, now: Duration, source: usize, record: Record) {
+        let name = record.announcement.name.clone();
+        let silent = record.silent;
+        self.registry.merge(now, record);
+        if let Some(source) = self.sources.get_mut(source) {
+            match silent {
+                true => source.silent.insert(name),
+                false => source.silent.remove(&name),
+            };
+        }
+    }
+
+    /// Brings the pool up to what the registry knows of an endpoint.
+    fn refresh(&mut self, now: Duration, name: &str, tag: impl Fn(&str) -> Option<u64>) {
+        let Some(known) = self.registry.get(name) else {
+            return;
+        };
+        let mut live = self.sources.iter().filter(|source| source.live);
+        let heard = live.clone().count() == 0 || live.any(|source| !source.silent.contains(name));
+        let phase = match known.announcement.state {
+            _ if known.departed => Phase::Gone,
+            State::Draining => Phase::Draining,
+            State::Ready if heard => Phase::Ready,
+            State::Ready => Phase::Silent,
+        };
+        let own = &known.announcement;
+        let service = self.pool.service(&own.service);
+        let warm = now + Duration::from_millis(u64::from(own.warmup));
+        let endpoint = Endpoint::new(name, own.incarnation, own.address, service)
+            .with_phase(phase)
+            .with_slots(own.slots)
+            .with_tag(tag(name).unwrap_or_default())
+            .with_warm(warm);
+        self.pool.update(match own.centre == self.centre {
+            true => endpoint,
+            false => endpoint.with_remote(),
+        });
+    }
+
+    fn share(&mut self, loaded: Loaded) {
+        if let Some(reference) = Reference::read(loaded.reference) {
+            let load = Load {
+                busy: loaded.busy,
+                flows: loaded.flows,
+            };
+            self.pool.elsewhere(reference, load);
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/endpoint.rs
@@ -0,0 +1,154 @@
+//! An endpoint as an entry sees it.
+
+use std::{
+    net::SocketAddrV4,
+    time::Duration, //
+};
+
+use crate::{
+    load::Load,
+    reference::Reference, //
+};
+
+slotmap::new_key_type! {
+    /// Key of an endpoint in a pool.
+    pub struct EndpointKey;
+
+    /// Key of a service in a pool.
+    pub struct ServiceKey;
+}
+
+/// First time for which an endpoint gets no new flow after one that it did not answer; doubles with
+/// each further one. As long as a caller waits before it sends its second copy.
+const AVOID_FIRST: Duration = Duration::from_millis(200);
+
+/// Longest such time: then it gets a flow on trial.
+const AVOID_LAST: Duration = Duration::from_secs(3);
+
+/// How far an endpoint may be used.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Phase {
+    /// Keeps its flows and gets no new one.
+    Draining,
+    /// Has left: its flows are over.
+    Gone,
+    /// Takes new flows.
+    Ready,
+    /// The stores have not heard of it lately: it gets a new flow only if no other can.
+    Silent,
+}
+
+/// An endpoint as an entry sees it.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// Where it takes packets.
+    pub address: SocketAddrV4,
+    /// What other entries told of its load.
+    pub elsewhere: Load,
+    /// Start of its process; tells its incarnations apart.
+    pub incarnation: u64,
+    /// Whether it stands in the entry's own data centre.
+    pub local: bool,
+    /// Its name.
+    pub name: Box<str>,
+    /// How far it may be used.
+    pub phase: Phase,
+    /// What its packets carry.
+    pub reference: Reference,
+    /// Its service.
+    pub service: ServiceKey,
+    /// Requests that it works on at once.
+    pub slots: u16,
+    /// Number by which it tells that a packet is meant for it.
+    pub tag: u64,
+    /// Until when it is slow after its start.
+    pub warm: Duration,
+    /// Its load from this entry's own flows.
+    pub(crate) own: Load,
+    /// Until when it gets no new flow, and how many it has not answered in a row.
+    pub(crate) avoid: (Duration, u32),
+}
+
+impl Endpoint {
+    /// Creates what is known of an endpoint at its address, with one slot and ready.
+    pub fn new(name: &str, incarnation: u64, address: SocketAddrV4, service: ServiceKey) -> Self {
+        Self {
+            address,
+            avoid: (Duration::ZERO, 0),
+            elsewhere: Load::default(),
+            incarnation,
+            local: true,
+            name: name.into(),
+            own: Load::default(),
+            phase: Phase::Ready,
+            reference: Reference::to(name),
+            service,
+            slots: 1,
+            tag: 0,
+            warm: Duration::ZERO,
+        }
+    }
+
+    /// Sets how far it may be used.
+    pub const fn with_phase(mut self, phase: Phase) -> Self {
+        self.phase = phase;
+        self
+    }
+
+    /// Sets the number of requests that it works on at once.
+    pub const fn with_slots(mut self, slots: u16) -> Self {
+        self.slots = slots;
+        self
+    }
+
+    /// Sets the number by which it tells that a packet is meant for it.
+    pub const fn with_tag(mut self, tag: u64) -> Self {
+        self.tag = tag;
+        self
+    }
+
+    /// Sets until when it is slow after its start.
+    pub const fn with_warm(mut self, warm: Duration) -> Self {
+        self.warm = warm;
+        self
+    }
+
+    /// Puts it in another data centre than the entry.
+    pub const fn with_remote(mut self) -> Self {
+        self.local = false;
+        self
+    }
+
+    /// Its load from this entry's own flows.
+    pub const fn own(&self) -> Load {
+        self.own
+    }
+
+    /// Its whole load, as far as it is known.
+    pub fn load(&self) -> Load {
+        self.own + self.elsewhere
+    }
+
+    /// Notes that it answered.
+    pub(crate) fn answered(&mut self) {
+        self.avoid = (Duration::ZERO, 0);
+    }
+
+    /// Notes that it did not answer a new flow.
+    pub(crate) fn missed(&mut self, now: Duration) {
+        let (until, count) = self.avoid;
+        if now < until && count > 1 {
+            // Flows that were placed before the last miss was known tell nothing new.
+            return;
+        }
+        let pause = AVOID_FIRST
+            .saturating_mul(1 << count.min(8))
+            .min(AVOID_LAST);
+        self.avoid = (now + pause, count.saturating_add(1));
+    }
+
+    /// Whether it may get a new flow now.
+    pub(crate) fn trusted(&self, now: Duration) -> bool {
+        now >= self.avoid.0
+    }
+}
--- a/crates/daemon/src/http.rs
+++ b/crates/process/src/server.rs
@@ -43,10 +43,9 @@
 };
 
 use crate::{
-    auth::Peer,
     framing::HEADER_BYTES,
     guarded::Guarded,
-    node::Node, //
+    stop::Stop, //
 };
 
 /// Time that a caller has to send a request's headers.
@@ -65,6 +64,10 @@
 /// Pause after a failure to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Address of the other end of a connection; an extension of each request.
+#[derive(Clone, Copy, Debug)]
+pub struct Peer(pub SocketAddr);
+
 /// Answers the requests of one face.
 pub trait Handler {
     /// Body of the answers.
@@ -99,21 +102,21 @@
 
 /// Accepts and answers until the planned stop; returns when all begun requests are answered.
 pub async fn serve<H: Handler + Clone + 'static>(
-    node: Rc<Node>,
+    stop: Rc<Stop>,
     listener: TcpListener,
     handler: H,
 ) {
     let open = Rc::new(Open::default());
     loop {
-        let accepted = match select(pin!(listener.accept()), pin!(leave(&node))).await {
+        let accepted = match select(pin!(listener.accept()), pin!(leave(&stop))).await {
             Either::Left((accepted, _)) => accepted,
             Either::Right(_) => break,
         };
-        take(&node, &open, accepted, &handler).await;
+        take(&stop, &open, accepted, &handler).await;
     }
     for _ in 0..LAST_ACCEPTS {
         match compio::time::timeout(LAST_ACCEPT, listener.accept()).await {
-            Ok(accepted) => take(&node, &open, accepted, &handler).await,
+            Ok(accepted) => take(&stop, &open, accepted, &handler).await,
             Err(_) => break,
         }
     }
@@ -127,14 +130,14 @@
 }
 
 /// Waits until a planned stop has gone on for so long that callers know of it.
-async fn leave(node: &Node) {
-    node.stop.wait().await;
-    let since = node.stop.since().map_or(LEAVE, |since| since.elapsed());
+async fn leave(stop: &Stop) {
+    stop.wait().await;
+    let since = stop.since().map_or(LEAVE, |since| since.elapsed());
     compio::time::sleep(LEAVE.saturating_sub(since)).await;
 }
 
 async fn take<H: Handler + Clone + 'static>(
-    node: &Rc<Node>,
+    stop: &Rc<Stop>,
     open: &Rc<Open>,
     accepted: io::Result<(TcpStream, SocketAddr)>,
     handler: &H,
@@ -142,8 +145,8 @@
     match accepted {
         Ok((stream, peer)) => {
             open.count.set(open.count.get() + 1);
-            let (node, open) = (node.clone(), open.clone());
-            let task = connection(node, open, stream, Peer(peer), handler.clone());
+            let (stop, open) = (stop.clone(), open.clone());
+            let task = connection(stop, open, stream, Peer(peer), handler.clone());
             compio::runtime::spawn(task).detach();
         }
         Err(error) => {
@@ -154,7 +157,7 @@
 }
 
 async fn connection<H: Handler + 'static>(
-    node: Rc<Node>,
+    stop: Rc<Stop>,
     open: Rc<Open>,
     stream: TcpStream,
     peer: Peer,
@@ -163,10 +166,10 @@
     let service = service_fn(|mut request: Request<Incoming>| {
         request.extensions_mut().insert(peer);
         let answer = handler.handle(request);
-        let node = node.clone();
+        let stop = stop.clone();
         async move {
             let mut answer = answer.await;
-            if node.stop.begun() {
+            if stop.begun() {
                 let close = HeaderValue::from_static("close");
                 answer.headers_mut().insert(CONNECTION, close);
             }
@@ -182,7 +185,7 @@
         .max_buf_size(HEADER_BYTES)
         .serve_connection(Guarded::new(stream), service);
     let mut connection = pin!(connection);
-    let result = match select(connection.as_mut(), pin!(leave(&node))).await {
+    let result = match select(connection.as_mut(), pin!(leave(&stop))).await {
         Either::Left((result, _)) => result,
         Either::Right(_) => {
             connection.as_mut().graceful_shutdown();
--- a/crates/daemon/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::RefCell,
-    rc::Rc,
+    net::SocketAddr,
     time::Duration, //
 };
 
@@ -13,15 +13,12 @@
     Error,
     Event,
     Folder,
+    Message,
     Record,
     Saved, //
 };
 
-use crate::{
-    links::Links,
-    node::Node,
-    replica::Replica, //
-};
+use crate::replica::Replica;
 
 /// Pause before a failed write is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
@@ -33,21 +30,29 @@
     Replace(Box<Saved>),
 }
 
+/// What a store's driver needs of the process that it runs in.
+pub trait Surroundings {
+    /// Called after events were handled and before anything that follows from them leaves.
+    fn handled(&self);
+
+    /// Time since the process started.
+    fn now(&self) -> Duration;
+
+    /// The replica that is driven.
+    fn replica(&self) -> &RefCell<Replica>;
+
+    /// Sends a message to the store at an inner address; it may be lost.
+    fn send(&self, to: SocketAddr, message: &Message);
+}
+
 /// Runs the store until the process ends.
-pub async fn run(node: Rc<Node>, mut folder: Folder) {
-    let Some(replica) = &node.replica else {
-        return;
-    };
-    let mut links = Links::new(node.clone());
+pub async fn run<S: Surroundings>(around: &S, mut folder: Folder) {
+    let replica = around.replica();
     loop {
-        wait(&node, replica).await;
-        let before = replica.borrow().ledger().revision();
-        let actions = replica.borrow_mut().handle(node.now());
+        wait(around).await;
+        let actions = replica.borrow_mut().handle(around.now());
         let last = replica.borrow().raft().log().last();
-        if replica.borrow().ledger().revision() > before {
-            node.spread.record(&replica.borrow());
-            node.changed.notify(usize::MAX);
-        }
+        around.handled();
         let (writes, others) = split(actions);
         let written = !writes.is_empty();
         for write in writes {
@@ -65,7 +70,7 @@
                 Action::Send(message) => {
                     let address = replica.borrow().address(message.to);
                     if let Some(address) = address {
-                        links.send(address, message.encode());
+                        around.send(address, &message);
                     }
                 }
                 Action::Persist(_) | Action::Replace(_) => {}
@@ -125,12 +130,13 @@
 }
 
 /// Waits until an event is queued or a tick is due.
-async fn wait(node: &Node, replica: &RefCell<Replica>) {
+async fn wait<S: Surroundings>(around: &S) {
+    let replica = around.replica();
     let wake = replica.borrow().wake();
     loop {
         let listener = wake.listen();
         let due = replica.borrow().raft().due();
-        let now = node.now();
+        let now = around.now();
         if due <= now || replica.borrow().waits() {
             return;
         }
--- /dev/null
+++ b/crates/replica/src/lib.rs
@@ -0,0 +1,12 @@
+//! One store's replica of the log: the events that wait for it, its disk and its answers.
+
+mod driver;
+mod replica;
+
+pub use crate::{
+    driver::{
+        Surroundings,
+        run, //
+    },
+    replica::Replica,
+};
--- a/crates/daemon/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -30,12 +30,6 @@
     Timing,
     Token, //
 };
-use wire::{
-    LogMember,
-    LogMembers,
-    SectionText,
-    Update, //
-};
 
 /// Most messages of other stores that wait to be handled.
 const QUEUED_MESSAGES: usize = 1024;
@@ -55,19 +49,18 @@
 }
 
 impl Replica {
-    /// Opens the data folder; the folder goes to the driver.
+    /// Opens the data folder, or makes one with the id `fresh`; the folder goes to the driver.
     ///
     /// # Errors
     ///
     /// Any failure of the data folder.
-    pub fn open(path: &Path) -> Result<(Self, Folder), Error> {
-        let (folder, saved) = Folder::open(path, StoreId(rand::random()))?;
+    pub fn open(path: &Path, fresh: StoreId, timing: Timing) -> Result<(Self, Folder), Error> {
+        let (folder, saved) = Folder::open(path, fresh)?;
         let random = ChaCha8Rng::seed_from_u64(rand::random());
-        let raft =
-            Raft::new(folder.id(), saved, Timing::new(), random).ok_or_else(|| Error::Damaged {
-                offset: 0,
-                path: path.join("snapshot"),
-            })?;
+        let raft = Raft::new(folder.id(), saved, timing, random).ok_or_else(|| Error::Damaged {
+            offset: 0,
+            path: path.join("snapshot"),
+        })?;
         let replica = Self {
             answers: BTreeMap::new(),
             blocked: None,
@@ -100,11 +93,19 @@
         self.blocked = Some(code);
         for event in mem::take(&mut self.queue) {
             match event {
-                Event::Change(_, token) | Event::Edit(_, token) => {
+                Event::Change(_, token)
+                | Event::Edit(_, token)
+                | Event::Publish(_, token)
+                | Event::Read(token) => {
                     let advice = "the store's disk takes nothing at present";
                     self.answer(token, Answer::Refused(code, advice.into()));
                 }
-                Event::Init(..) | Event::Message(_) | Event::Synced(_) | Event::Tick => {}
+                Event::Found(..)
+                | Event::Init(..)
+                | Event::Join(_)
+                | Event::Message(_)
+                | Event::Synced(_)
+                | Event::Tick => {}
             }
         }
         for (_, sender) in mem::take(&mut self.answers) {
@@ -141,25 +142,6 @@
         self.raft.ledger()
     }
 
-    /// The stores as this one knows them.
-    pub fn members(&self, now: Duration) -> LogMembers {
-        let leader = self.raft.leader(now);
-        let members = self.raft.members().0.iter();
-        LogMembers {
-            confirmed: self.confirmed(now),
-            leader: leader.map(|leader| leader.name.clone()),
-            members: members
-                .map(|member| LogMember {
-                    id: member.id.to_string().into(),
-                    inner: member.address,
-                    name: member.name.clone(),
-                    voter: member.voter,
-                })
-                .collect(),
-            term: self.raft.term().0,
-        }
-    }
-
     /// The state machine.
     pub const fn raft(&self) -> &Raft {
         &self.raft
@@ -195,25 +177,6 @@
         receiver
     }
 
-    /// The document for a follower that has `revision`, if there is a newer one.
-    pub fn update(&self, revision: u64) -> Option<Update> {
-        let ledger = self.raft.ledger();
-        if ledger.revision().0 <= revision {
-            return None;
-        }
-        Some(Update {
-            revision: ledger.revision().0,
-            sections: ledger
-                .sections()
-                .map(|(name, stored)| SectionText {
-                    name: name.into(),
-                    text: stored.text.clone(),
-                    version: stored.version.0,
-                })
-                .collect(),
-        })
-    }
-
     /// Whether no document was ever decided; none unless this store leads and has the whole log.
     pub fn unused(&self, now: Duration) -> Option<bool> {
         let raft = &self.raft;
--- a/crates/store/src/election.rs
+++ b/crates/store/src/election.rs
@@ -71,6 +71,9 @@
             for token in former.pending.into_values() {
                 self.refuse(token, Code::EditUnknown, "the leader stepped down");
             }
+            for (_, _, token) in former.reads {
+                self.refuse(token, Code::NoLeader, "the leader stepped down");
+            }
             self.postpone();
         }
         self.leader = leader;
@@ -153,6 +156,8 @@
             beat: self.now,
             peers: Default::default(),
             pending: Default::default(),
+            reads: Vec::new(),
+            round: 0,
             start,
             synced,
         }));
@@ -173,6 +178,7 @@
                 matched: Default::default(),
                 next,
                 offset: 0,
+                round: 0,
                 told: Default::default(),
                 waiting: false,
             });
--- a/crates/store/src/entry.rs
+++ b/crates/store/src/entry.rs
@@ -8,7 +8,8 @@
 use crate::{
     edit::Edit,
     members::Members,
-    position::Position, //
+    position::Position,
+    publication::Publication, //
 };
 
 /// What an entry does once it is committed.
@@ -21,6 +22,8 @@
     Edit(Edit),
     /// Names the stores; in effect as soon as a store has it.
     Members(Members),
+    /// Puts a document with its own version in force.
+    Publish(Publication),
 }
 
 /// One entry.
@@ -43,6 +46,7 @@
             Payload::Blank => ENTRY_BYTES,
             Payload::Edit(edit) => ENTRY_BYTES + edit.section.len() + edit.text.len(),
             Payload::Members(members) => ENTRY_BYTES * (1 + members.0.len()),
+            Payload::Publish(publication) => ENTRY_BYTES + publication.bytes.len(),
         }
     }
 }
--- a/crates/store/src/event.rs
+++ b/crates/store/src/event.rs
@@ -5,10 +5,17 @@
 use crate::{
     edit::Edit,
     id::ClusterId,
-    members::Member,
+    members::{
+        Member,
+        Members, //
+    },
     message::Message,
     outcome::Outcome,
     position::Position,
+    publication::{
+        Publication,
+        Published, //
+    },
     record::{
         Encoded,
         Record,
@@ -36,10 +43,18 @@
     Change(Change, Token),
     /// An operator edits a section.
     Edit(Edit, Token),
+    /// The first start of several stores at once; each is told of the same log and members.
+    Found(ClusterId, Members),
     /// The first start, with this store alone.
     Init(ClusterId, Member),
+    /// A store asks to be taken in; only the leader acts on it.
+    Join(Member),
     /// A message of another store.
     Message(Message),
+    /// An operator publishes a document with its own version.
+    Publish(Publication, Token),
+    /// Someone reads and needs to know that nothing newer was acknowledged.
+    Read(Token),
     /// All records up to the one of that entry are on disk.
     Synced(Position),
     /// Time has passed.
@@ -51,8 +66,12 @@
 pub enum Answer {
     /// The change of the members is committed.
     Changed,
+    /// The ledger holds all that was acknowledged before the read began.
+    Current,
     /// What became of the edit.
     Outcome(Outcome),
+    /// What became of the publication.
+    Published(Published),
     /// Why there is no outcome; the code says whether there may be one yet.
     Refused(Code, Box<str>),
 }
--- a/crates/store/src/folder.rs
+++ b/crates/store/src/folder.rs
@@ -43,7 +43,7 @@
 };
 
 /// What each file starts with; the last byte is the format's version.
-const HEADER: &[u8; 8] = b"mmshsto\x01";
+const HEADER: &[u8; 8] = b"mmshsto\x02";
 
 /// A data folder that this process uses.
 #[derive(Debug)]
--- a/crates/store/src/following.rs
+++ b/crates/store/src/following.rs
@@ -24,12 +24,14 @@
         previous: Position,
         entries: Vec<Entry>,
         commit: Index,
+        round: u64,
     ) {
         self.hear(from);
+        self.told = self.told.max(commit);
         let covered = previous.index < self.log.base().index;
         if !covered && self.log.term(previous.index) != Some(previous.term) {
             let next = self.retry(previous.index);
-            return self.send(from, Body::Rejected { next });
+            return self.send(from, Body::Rejected { next, round });
         }
         let mut matched = previous.index;
         for entry in entries {
@@ -40,7 +42,7 @@
             }
         }
         self.commit = self.commit.max(commit.min(matched));
-        self.send(from, Body::Appended { matched });
+        self.send(from, Body::Appended { matched, round });
     }
 
     /// Takes a part of a leader's snapshot.
@@ -55,7 +57,7 @@
         self.hear(from);
         if position.index <= self.commit {
             let matched = position.index;
-            return self.send(from, Body::Appended { matched });
+            return self.send(from, Body::Appended { matched, round: 0 });
         }
         let mut whole = match self.incoming.take() {
             Some((other, held)) if other == position => held,
@@ -67,7 +69,7 @@
         let received = u64::try_from(whole.len()).unwrap_or(u64::MAX);
         if received >= total && self.install(position, &whole) {
             let matched = position.index;
-            return self.send(from, Body::Appended { matched });
+            return self.send(from, Body::Appended { matched, round: 0 });
         }
         if received < total {
             self.incoming = Some((position, whole));
--- a/crates/store/src/ledger.rs
+++ b/crates/store/src/ledger.rs
@@ -20,6 +20,10 @@
     audit::Audit,
     edit::Edit,
     outcome::Outcome,
+    publication::{
+        Publication,
+        Published, //
+    },
     version::{
         Revision,
         Version, //
@@ -55,6 +59,7 @@
     document: Document,
     history: BTreeMap<Box<str>, VecDeque<Stored>>,
     outcomes: BTreeMap<Box<str>, Outcome>,
+    published: Option<Publication>,
     revision: Revision,
     sections: BTreeMap<Box<str>, Stored>,
 }
@@ -104,6 +109,31 @@
         self.outcomes.get(id)
     }
 
+    /// Puts a document with its operator's version in force, unless one is that is as high.
+    pub fn publish(&mut self, publication: &Publication) -> Published {
+        if let Some(known) = self.compare(publication) {
+            return known;
+        }
+        self.published = Some(publication.clone());
+        Published::Accepted
+    }
+
+    /// What would become of a publication that changes nothing; none for one that would be
+    /// accepted.
+    pub fn compare(&self, publication: &Publication) -> Option<Published> {
+        match &self.published {
+            Some(held) if held.version > publication.version => Some(Published::Superseded),
+            Some(held) if held == publication => Some(Published::Repeated),
+            Some(held) if held.version == publication.version => Some(Published::Conflict),
+            Some(_) | None => None,
+        }
+    }
+
+    /// The publication in force.
+    pub const fn published(&self) -> Option<&Publication> {
+        self.published.as_ref()
+    }
+
     /// The revision in force.
     pub const fn revision(&self) -> Revision {
         self.revision
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -22,10 +22,12 @@
 mod outcome;
 mod position;
 mod proposal;
+mod publication;
 mod raft;
 mod record;
 mod replication;
 mod role;
+mod roster;
 mod snapshot;
 mod timing;
 mod version;
@@ -71,6 +73,10 @@
         Position,
         Term, //
     },
+    publication::{
+        Publication,
+        Published, //
+    },
     raft::Raft,
     record::{
         Ballot,
--- a/crates/store/src/message.rs
+++ b/crates/store/src/message.rs
@@ -30,11 +30,15 @@
         entries: Vec<Entry>,
         /// The entry before them.
         previous: Position,
+        /// The leader's latest round of heartbeats; the answer repeats it.
+        round: u64,
     },
     /// The log equals the leader's up to an entry, on disk.
     Appended {
         /// That entry.
         matched: Index,
+        /// Round of the heartbeat that is answered.
+        round: u64,
     },
     /// A part of the leader's snapshot.
     Chunk {
@@ -65,6 +69,8 @@
     Rejected {
         /// Where the leader may try next.
         next: Index,
+        /// Round of the heartbeat that is answered.
+        round: u64,
     },
     /// How much of a snapshot has arrived.
     Taken {
--- a/crates/store/src/proposal.rs
+++ b/crates/store/src/proposal.rs
@@ -16,6 +16,7 @@
         Members, //
     },
     position::Index,
+    publication::Publication,
     raft::Raft,
     role::Role, //
 };
@@ -42,8 +43,20 @@
         }
     }
 
-    /// Makes a learner that has caught up a voter.
+    /// Takes a publication; one that changes nothing is answered at once, since what the ledger
+    /// holds is committed.
+    pub(crate) fn publish(&mut self, publication: Publication, token: Token) {
+        match self.ledger.compare(&publication) {
+            Some(known) => self.answer(token, Answer::Published(known)),
+            None => self.propose(Payload::Publish(publication), token),
+        }
+    }
+
+    /// Makes a learner that has caught up a voter, where operators name the members.
     pub(crate) fn promote(&mut self, id: StoreId) {
+        if self.timing.voters.is_some() {
+            return;
+        }
         let Role::Leader(leader) = &self.role else {
             return;
         };
@@ -59,7 +72,7 @@
 
     /// Whether a change of the members may begin: the last one is committed, and so is an entry
     /// of the leader's own term.
-    fn settled(&self) -> bool {
+    pub(crate) fn settled(&self) -> bool {
         match &self.role {
             Role::Leader(leader) => {
                 leader.start <= self.commit && self.log.members_index() <= self.commit
@@ -109,7 +122,7 @@
     }
 }
 
-fn removed(members: &Members, id: StoreId) -> Result<Members, Box<str>> {
+pub(crate) fn removed(members: &Members, id: StoreId) -> Result<Members, Box<str>> {
     let rest = members.without(id);
     match rest.0.iter().any(|member| member.voter) {
         true => Ok(rest),
--- a/crates/store/src/raft.rs
+++ b/crates/store/src/raft.rs
@@ -76,6 +76,8 @@
     pub(crate) role: Role,
     pub(crate) snapshot: Option<Encoded>,
     pub(crate) timing: Timing,
+    /// Last entry that a leader said is committed.
+    pub(crate) told: Index,
 }
 
 impl Raft {
@@ -113,6 +115,7 @@
             role: Role::Follower,
             snapshot: saved.snapshot,
             timing,
+            told: Index::default(),
         };
         if !raft.alone() {
             raft.postpone();
@@ -126,14 +129,20 @@
         match event {
             Event::Change(change, token) => self.change(change, token),
             Event::Edit(edit, token) => self.edit(edit, token),
+            Event::Found(cluster, members) => self.found(cluster, members),
             Event::Init(cluster, member) => self.init(cluster, member),
+            Event::Join(member) => self.join(member),
             Event::Message(message) => self.receive(message),
+            Event::Publish(publication, token) => self.publish(publication, token),
+            Event::Read(token) => self.read(token),
             Event::Synced(position) => self.synced(position),
             Event::Tick => self.tick(),
         }
         self.advance();
         self.apply();
+        self.confirm();
         self.compact();
+        self.tend();
         self.replicate();
         mem::take(&mut self.actions)
     }
@@ -157,6 +166,17 @@
         }
     }
 
+    /// Whether the store holds all that the leader it is in contact with said is committed.
+    pub fn current(&self, now: Duration) -> bool {
+        let started = match &self.role {
+            Role::Leader(leader) => leader.start <= self.commit,
+            Role::Candidate(_) | Role::Follower | Role::PreCandidate(_) => {
+                self.heard.is_some() && self.applied >= self.told
+            }
+        };
+        started && self.confirmed(now)
+    }
+
     /// When [`Event::Tick`] is due.
     pub fn due(&self) -> Duration {
         match &self.role {
@@ -285,6 +305,16 @@
         self.campaign();
     }
 
+    fn found(&mut self, cluster: ClusterId, members: Members) {
+        if self.cluster.is_some() {
+            return;
+        }
+        self.adopt(cluster);
+        self.vote(Term(1), None);
+        // The same entry on every founder, so that it counts as replicated from the start.
+        self.append(Payload::Members(members));
+    }
+
     /// Joins a log.
     pub(crate) fn adopt(&mut self, cluster: ClusterId) {
         self.cluster = Some(cluster);
--- a/crates/store/src/replication.rs
+++ b/crates/store/src/replication.rs
@@ -1,8 +1,13 @@
 //! The leader's side of replication.
 
+use codes::Code;
+
 use crate::{
     entry::Payload,
-    event::Answer,
+    event::{
+        Answer,
+        Token, //
+    },
     id::StoreId,
     message::{
         Body,
@@ -44,8 +49,9 @@
                 commit,
                 entries,
                 previous,
-            } => self.accept(from, previous, entries, commit),
-            Body::Appended { matched } => self.appended(from, matched),
+                round,
+            } => self.accept(from, previous, entries, commit, round),
+            Body::Appended { matched, round } => self.appended(from, matched, round),
             Body::Chunk {
                 bytes,
                 offset,
@@ -54,13 +60,53 @@
             } => self.chunk(from, position, offset, &bytes, total),
             Body::PreVote { last, proposed } => self.pre_vote(from, last, proposed),
             Body::PreVoted { granted, proposed } => self.pre_voted(from, granted, proposed),
-            Body::Rejected { next } => self.rejected(from, next),
+            Body::Rejected { next, round } => self.rejected(from, next, round),
             Body::Taken { position, received } => self.taken(from, position, received),
             Body::Vote { last } => self.voting(from, last),
             Body::Voted { granted } => self.voted(from, granted),
         }
     }
 
+    /// Begins a read: a round of heartbeats, which a quorum has to answer.
+    pub(crate) fn read(&mut self, token: Token) {
+        let commit = self.commit;
+        let started = match &mut self.role {
+            Role::Leader(leader) if leader.start <= commit => {
+                leader.round += 1;
+                leader.beat = self.now;
+                leader.reads.push((leader.round, commit, token));
+                true
+            }
+            Role::Candidate(_) | Role::Follower | Role::Leader(_) | Role::PreCandidate(_) => false,
+        };
+        match started {
+            true => self.beat(),
+            false => self.refuse(token, Code::NoLeader, "this store does not lead"),
+        }
+    }
+
+    /// Answers the reads whose round a quorum has answered: no other store led when they began.
+    pub(crate) fn confirm(&mut self) {
+        let members = self.log.members();
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let peers = &leader.peers;
+        let answered = |round: u64| {
+            members.quorum(|id| {
+                id == self.id || peers.get(&id).is_some_and(|peer| peer.round >= round)
+            })
+        };
+        let (ready, waiting) = std::mem::take(&mut leader.reads)
+            .into_iter()
+            .partition(|(round, index, _)| *index <= self.applied && answered(*round));
+        leader.reads = waiting;
+        let ready: Vec<_> = ready;
+        for (_, _, token) in ready {
+            self.answer(token, Answer::Current);
+        }
+    }
+
     /// Sends heartbeats, and steps down without a quorum.
     pub(crate) fn beat(&mut self) {
         if !self.confirmed(self.now) {
@@ -120,6 +166,9 @@
             let answer = match &entry.payload {
                 Payload::Blank | Payload::Members(_) => Answer::Changed,
                 Payload::Edit(edit) => Answer::Outcome(self.ledger.apply(edit)),
+                Payload::Publish(publication) => {
+                    Answer::Published(self.ledger.publish(publication))
+                }
             };
             self.applied = self.applied.next();
             if let Role::Leader(leader) = &mut self.role
@@ -173,7 +222,7 @@
         match message.body {
             Body::Append { .. } | Body::Chunk { .. } => {
                 let next = self.log.last().index.next();
-                self.send(message.from, Body::Rejected { next });
+                self.send(message.from, Body::Rejected { next, round: 0 });
             }
             Body::PreVote { last, proposed } => self.pre_vote(message.from, last, proposed),
             Body::Vote { .. } => self.send(message.from, Body::Voted { granted: false }),
@@ -185,8 +234,8 @@
         }
     }
 
-    fn appended(&mut self, from: StoreId, matched: Index) {
-        let Some(peer) = self.answered(from) else {
+    fn appended(&mut self, from: StoreId, matched: Index, round: u64) {
+        let Some(peer) = self.answered(from, round) else {
             return;
         };
         peer.matched = peer.matched.max(matched);
@@ -195,8 +244,8 @@
         self.promote(from);
     }
 
-    fn rejected(&mut self, from: StoreId, next: Index) {
-        if let Some(peer) = self.answered(from) {
+    fn rejected(&mut self, from: StoreId, next: Index, round: u64) {
+        if let Some(peer) = self.answered(from, round) {
             peer.next = next.max(peer.matched.next());
         }
         self.forward(from);
@@ -204,7 +253,7 @@
 
     fn taken(&mut self, from: StoreId, position: Position, received: u64) {
         let base = self.log.base();
-        if let Some(peer) = self.answered(from) {
+        if let Some(peer) = self.answered(from, 0) {
             peer.offset = match position == base {
                 true => received,
                 false => 0,
@@ -214,12 +263,13 @@
     }
 
     /// The peer that answered.
-    fn answered(&mut self, from: StoreId) -> Option<&mut Peer> {
+    fn answered(&mut self, from: StoreId, round: u64) -> Option<&mut Peer> {
         let Role::Leader(leader) = &mut self.role else {
             return None;
         };
         let peer = leader.peers.get_mut(&from)?;
         peer.contact = self.now;
+        peer.round = peer.round.max(round);
         peer.waiting = false;
         Some(peer)
     }
@@ -235,11 +285,13 @@
         peer.told = self.commit;
         peer.waiting = true;
         let index = peer.next.previous();
+        let round = leader.round;
         let body = match (self.log.term(index), &self.snapshot) {
             (Some(term), _) => Body::Append {
                 commit: self.commit,
                 entries: self.log.batch(peer.next),
                 previous: Position { term, index },
+                round,
             },
             (None, Some(snapshot)) => {
                 let total = snapshot.bytes.len();
--- a/crates/store/src/role.rs
+++ b/crates/store/src/role.rs
@@ -25,6 +25,8 @@
     pub next: Index,
     /// Length of the snapshot that has arrived, in bytes.
     pub offset: u64,
+    /// Latest round of heartbeats that it answered.
+    pub round: u64,
     /// Committed entry that it was told of last.
     pub told: Index,
     /// Whether an answer is awaited.
@@ -40,6 +42,11 @@
     pub peers: BTreeMap<StoreId, Peer>,
     /// Requests by their entry.
     pub pending: BTreeMap<Index, Token>,
+    /// Reads that wait for a quorum to answer a round: the round, and the commit index at the
+    /// read's begin.
+    pub reads: Vec<(u64, Index, Token)>,
+    /// Latest round of heartbeats.
+    pub round: u64,
     /// Its first entry of the term.
     pub start: Index,
     /// Last entry that is on its own disk.
--- a/crates/store/src/timing.rs
+++ b/crates/store/src/timing.rs
@@ -10,8 +10,14 @@
     pub election: Duration,
     /// Time between two heartbeats of a leader.
     pub heartbeat: Duration,
+    /// Time after which the leader lets another store take the place of a silent voter; only with
+    /// `voters`.
+    pub patience: Duration,
     /// Applied entries after which a snapshot takes their place.
     pub snapshot: u64,
+    /// Voters that the leader keeps by itself out of the stores that joined; none if operators
+    /// name the members and each of them is a voter.
+    pub voters: Option<usize>,
 }
 
 impl Default for Timing {
@@ -19,7 +25,9 @@
         Self {
             election: Duration::from_millis(600),
             heartbeat: Duration::from_millis(100),
+            patience: Duration::from_secs(8),
             snapshot: 4096,
+            voters: None,
         }
     }
 }
@@ -30,6 +38,12 @@
         Self::default()
     }
 
+    /// Lets the leader keep that many voters by itself.
+    pub const fn with_voters(mut self, voters: usize) -> Self {
+        self.voters = Some(voters);
+        self
+    }
+
     /// Sets the number of applied entries after which a snapshot is made.
     pub const fn with_snapshot(mut self, entries: u64) -> Self {
         self.snapshot = entries;
--- a/crates/store/tests/raft.rs
+++ b/crates/store/tests/raft.rs
@@ -317,7 +317,10 @@
     }
     assert_eq!(world.leader(), Some(0));
     let held = Message {
-        body: Body::Appended { matched: earlier },
+        body: Body::Appended {
+            matched: earlier,
+            round: 0,
+        },
         cluster: mimosausher_store::ClusterId(7),
         from: id(1),
         term: world.nodes[0].raft.term(),
