Recovery after the loss of all power: sooner connections, sooner first election, endpoints on disk

A connection that was begun while the other machine was dark hung until its time-out of 800 ms; the first election waited for a leader that nobody had heard; endpoints were known only after they announced themselves again; entries reset opening packets before they knew a route, which used up the callers' tries.

Ruled out: the sync of the disk (1 ms), the start of a process (60 ms).

Change: connections are tried anew after 250 ms; a store that has heard no leader since its start canvasses after 100 to 200 ms; stores keep the announcements on disk; an entry without a confirmed document stays silent, since the caller's copy comes.

Conclusion: what is left of that window is the time that the machines are dark, then a burst of returning callers.

--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -51,6 +51,10 @@
 /// Time between two looks at what is over.
 const TICK: Duration = Duration::from_millis(250);
 
+/// Time beyond an announcement's interval after which an entry that has started knows each endpoint
+/// that any store could know.
+const LEARN: Duration = Duration::from_secs(1);
+
 /// Time from the begin of a stop for which packets are forwarded in any case: until a router has
 /// missed two answers and sends its flows elsewhere.
 const LEAVE: Duration = Duration::from_millis(1_600);
@@ -97,7 +101,7 @@
         refusals: Refusals::default(),
         seeds: RefCell::new(settings.seeded()),
         stop: Rc::default(),
-        view: RefCell::new(View::new(&settings.centre)),
+        view: RefCell::new(View::new(&settings.centre, settings.heartbeat() + LEARN)),
         settings,
     });
     log::info!(name = &*entry.settings.name; "an entry has started");
--- a/crates/edge/src/frames.rs
+++ b/crates/edge/src/frames.rs
@@ -34,9 +34,10 @@
     },
 };
 
-/// Time after which a connection that is not made is given up: longer than any way in one
-/// continent and back, several times over.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time after which a connection that is not made is tried anew: longer than the way between two
+/// regions and back, and shorter than the system waits before it sends an opening packet again to
+/// a machine that was dark.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Time after which a connection is given up from which nothing came, or which takes nothing: a
 /// few of the frames that show that the other end still runs.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -15,6 +15,7 @@
 mod frames;
 mod links;
 mod logs;
+mod memory;
 mod message;
 mod peers;
 mod ready;
@@ -41,9 +42,14 @@
         Share, //
     },
     error::Error,
+    message::{
+        Loaded,
+        Push, //
+    },
     run::run,
     settings::{
         Role,
         Settings, //
     },
+    view::View,
 };
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -44,6 +44,7 @@
     control::Control,
     error::Error,
     links,
+    memory,
     peers::Peers,
     reload::until_stop,
     serve,
@@ -79,6 +80,7 @@
     );
     spawn(serve::accept(stock.clone(), inner)).detach();
     spawn(drive::<B>(stock.clone(), folder)).detach();
+    spawn(memory::keep(stock.clone())).detach();
     spawn(tick(stock.clone())).detach();
     let face = Control::<B>::new(stock.clone());
     spawn(process::serve(stock.stop.clone(), listener, face)).detach();
@@ -113,15 +115,18 @@
         members.sort_by_key(|member| member.address);
         replica.push(Event::Found(group(&seeds), Members(members.into())));
     }
+    let clock = Clock::new();
+    let mut registry = Registry::new(settings.heartbeat() * MISSED);
+    memory::recall(&data, clock.now(), &mut registry);
     let stock = Stock {
         changed: Wake::new(),
-        clock: Clock::new(),
+        clock,
         copied: Wake::new(),
         document: RefCell::default(),
         loads: RefCell::default(),
         member: member(own, folder.id()),
         peers: RefCell::new(Peers::new(own)),
-        registry: RefCell::new(Registry::new(settings.heartbeat() * MISSED)),
+        registry: RefCell::new(registry),
         replica: RefCell::new(replica),
         seeds: RefCell::new(seeds),
         settings,
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -58,6 +58,8 @@
     centre: Box<str>,
     /// Whether a store that was current has told all that it knew.
     confirmed: bool,
+    /// Until when endpoints may be missing only because they have not announced themselves yet.
+    learning: Duration,
     /// The endpoints and flows.
     pool: Pool,
     /// What was announced; keeps older records from replacing later ones.
@@ -70,10 +72,14 @@
 
 impl View {
     /// Creates the view of an entry that knows nothing yet.
-    pub fn new(centre: &str) -> Self {
+    ///
+    /// For the time `learning` after the start, it takes services without an endpoint for ones whose
+    /// endpoints it has not heard of yet.
+    pub fn new(centre: &str, learning: Duration) -> Self {
         Self {
             centre: centre.into(),
             confirmed: false,
+            learning,
             pool: Pool::new(),
             // Silence is the stores' to tell: an entry hears of an endpoint only when it changes.
             registry: Registry::new(Duration::MAX / 4),
@@ -171,7 +177,9 @@
     ///
     /// # Errors
     ///
-    /// [`Code::PacketAddress`] if no route has the packet's destination, and what the pool refuses.
+    /// [`Code::EntryStarting`] if it may have an endpoint that is not known yet: the caller sends
+    /// a copy soon. [`Code::PacketAddress`] if no route has the packet's destination, and what the
+    /// pool refuses.
     pub fn route(
         &mut self,
         now: Duration,
@@ -182,10 +190,14 @@
             Kind::Later => self
                 .pool
                 .pass(now, packet.flow, packet.reference, packet.progress),
+            Kind::Open(_) if !self.confirmed => Err(Code::EntryStarting),
             Kind::Open(_) => {
                 let FlowKey { route, .. } = packet.flow;
                 let targets = self.routes.get(&route).ok_or(Code::PacketAddress)?;
-                self.pool.open(now, packet.flow, targets, random)
+                match self.pool.open(now, packet.flow, targets, random) {
+                    Err(Code::FlowNoEndpoint) if now < self.learning => Err(Code::EntryStarting),
+                    result => result,
+                }
             }
         }
     }
--- a/crates/store/src/folder.rs
+++ b/crates/store/src/folder.rs
@@ -26,13 +26,17 @@
     },
 };
 
-use serde::{
-    Serialize,
-    de::DeserializeOwned, //
-};
-
 use crate::{
     error::Error,
+    file::{
+        HEADER,
+        damaged,
+        encode,
+        failure,
+        read,
+        size,
+        write, //
+    },
     frame::Frame,
     id::StoreId,
     record::{
@@ -42,9 +46,6 @@
     },
 };
 
-/// What each file starts with; the last byte is the format's version.
-const HEADER: &[u8; 8] = b"mmshsto\x02";
-
 /// A data folder that this process uses.
 #[derive(Debug)]
 pub struct Folder {
@@ -151,25 +152,6 @@
     file.seek(SeekFrom::Start(end)).map(|_| ())
 }
 
-fn damaged(path: &Path, at: usize) -> Error {
-    Error::Damaged {
-        offset: u64::try_from(at).unwrap_or(u64::MAX),
-        path: path.into(),
-    }
-}
-
-fn encode<T: Serialize>(value: &T) -> io::Result<Vec<u8>> {
-    let payload = postcard::to_stdvec(value).map_err(io::Error::other)?;
-    Frame::write(&payload)
-}
-
-fn failure(path: &Path, cause: io::Error) -> Error {
-    Error::Io {
-        cause,
-        path: path.into(),
-    }
-}
-
 /// Reads snapshot and log; returns what they hold and the offset behind the log's last frame.
 fn load(folder: &Path, path: &Path) -> Result<(Saved, u64), Error> {
     let bytes = match fs::read(path) {
@@ -217,24 +199,6 @@
     }
 }
 
-/// Reads a file of one frame; none if there is no such file.
-fn read<T: DeserializeOwned>(path: &Path) -> Result<Option<T>, Error> {
-    let bytes = match fs::read(path) {
-        Ok(bytes) => bytes,
-        Err(cause) if cause.kind() == io::ErrorKind::NotFound => return Ok(None),
-        Err(cause) => return Err(failure(path, cause)),
-    };
-    let frame = bytes.strip_prefix(HEADER).ok_or_else(|| damaged(path, 0))?;
-    match Frame::read(frame) {
-        Frame::Whole(payload, []) => postcard::from_bytes(payload)
-            .map(Some)
-            .map_err(|_| damaged(path, HEADER.len())),
-        Frame::Damaged | Frame::End | Frame::Torn | Frame::Whole(..) => {
-            Err(damaged(path, HEADER.len()))
-        }
-    }
-}
-
 /// Drops the entries that the snapshot holds, and those that it contradicts.
 fn settle(saved: &mut Saved) {
     let Some(Encoded { position, .. }) = saved.snapshot else {
@@ -250,24 +214,3 @@
     }
     entries.retain(|entry| entry.position.index > position.index);
 }
-
-fn size(bytes: &[u8]) -> u64 {
-    u64::try_from(bytes.len()).unwrap_or(u64::MAX)
-}
-
-/// Writes a file of one frame aside, syncs it and puts it in place; returns its length.
-fn write<T: Serialize>(folder: &Path, name: &str, value: &T) -> Result<u64, Error> {
-    let path = folder.join(name);
-    let aside = folder.join(format!("{name}.new"));
-    let frame = encode(value).map_err(|cause| failure(&path, cause))?;
-    let written = File::create(&aside)
-        .and_then(|mut file| {
-            file.write_all(HEADER)?;
-            file.write_all(&frame)?;
-            file.sync_all()
-        })
-        .and_then(|()| fs::rename(&aside, &path))
-        .and_then(|()| File::open(folder)?.sync_all());
-    written.map_err(|cause| failure(&path, cause))?;
-    Ok(size(HEADER) + size(&frame))
-}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -10,6 +10,7 @@
 mod entry;
 mod error;
 mod event;
+mod file;
 mod fingerprint;
 mod folder;
 mod following;
@@ -47,6 +48,10 @@
         Event,
         Token, //
     },
+    file::{
+        read,
+        write, //
+    },
     folder::Folder,
     id::{
         ClusterId,
--- a/crates/store/src/raft.rs
+++ b/crates/store/src/raft.rs
@@ -253,10 +253,15 @@
         position.index
     }
 
-    /// Draws the time of the next election.
+    /// Draws the time of the next election: a store that has heard no leader since its start waits
+    /// for none to fall silent.
     pub(crate) fn postpone(&mut self) {
-        let spread = self.timing.election.mul_f64(self.random.random::<f64>());
-        self.deadline = self.now + self.timing.election + spread;
+        let wait = match self.heard {
+            Some(_) => self.timing.election,
+            None => self.timing.first,
+        };
+        let spread = wait.mul_f64(self.random.random::<f64>());
+        self.deadline = self.now + wait + spread;
     }
 
     /// What the disk holds once all actions so far are done.
--- a/crates/store/src/timing.rs
+++ b/crates/store/src/timing.rs
@@ -8,6 +8,9 @@
     /// Least time without a leader after which a store stands for election. Each wait is drawn
     /// between this and twice this. A leader steps down after this time without a quorum.
     pub election: Duration,
+    /// The same for a store that has heard no leader since its start: a candidate asks before it
+    /// raises a term, so that an early one disturbs no leader.
+    pub first: Duration,
     /// Time between two heartbeats of a leader.
     pub heartbeat: Duration,
     /// Time after which the leader lets another store take the place of a silent voter; only with
@@ -24,6 +27,7 @@
     fn default() -> Self {
         Self {
             election: Duration::from_millis(600),
+            first: Duration::from_millis(100),
             heartbeat: Duration::from_millis(100),
             patience: Duration::from_secs(8),
             snapshot: 4096,
