A request to an endpoint out of reach is reset after its second repeat

Entries see each repeat.

Ruled out: stores' silence as the only sign (three heartbeats are longer than most deadlines); one repeat (a freeze of the entry causes it too).

Change: the pool counts repeats by flow and signs by endpoint; if the route's requests may be repeated, the flow is reset and its caller can try another endpoint. Requests that may run once keep waiting: a reset would fail them for certain. An entry that stood still trusts no repeat for a second.

--- a/crates/edge/src/document.rs
+++ b/crates/edge/src/document.rs
@@ -23,6 +23,8 @@
 pub struct Route {
     /// The address that callers ask for.
     pub address: SocketAddrV4,
+    /// Whether its requests may be sent anew after any failure.
+    pub repeatable: bool,
     /// The services.
     pub shares: Box<[Share]>,
 }
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -202,7 +202,10 @@
     out: &mut Vec<u8>,
 ) -> Option<SocketAddr> {
     match code {
-        Code::FlowEndpointGone | Code::FlowNoEndpoint | Code::PacketAddress => {
+        Code::FlowEndpointGone
+        | Code::FlowEndpointMute
+        | Code::FlowNoEndpoint
+        | Code::PacketAddress => {
             B::reset(packet, out);
             Some(SocketAddrV4::new(*packet.flow.caller.ip(), port).into())
         }
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -51,6 +51,14 @@
     silent: BTreeSet<Box<str>>,
 }
 
+/// Where a route leads.
+#[derive(Clone, Debug)]
+struct Destination {
+    /// Whether its requests may be sent anew after any failure.
+    repeatable: bool,
+    targets: Box<[Target]>,
+}
+
 /// What an entry knows.
 #[derive(Debug)]
 pub struct View {
@@ -64,7 +72,7 @@
     pool: Pool,
     /// What was announced; keeps older records from replacing later ones.
     registry: Registry,
-    routes: HashMap<SocketAddrV4, Box<[Target]>>,
+    routes: HashMap<SocketAddrV4, Destination>,
     sources: [Source; SOURCES],
     /// Version of the document in force; 0 if there is none.
     version: u64,
@@ -187,13 +195,18 @@
         random: &mut impl Rng,
     ) -> Result<EndpointKey, Code> {
         match packet.kind {
-            Kind::Later => self
-                .pool
-                .pass(now, packet.flow, packet.reference, packet.progress),
+            Kind::Later => {
+                let route = self.routes.get(&packet.flow.route);
+                let repeatable = route.is_some_and(|route| route.repeatable);
+                let (flow, progress) = (packet.flow, packet.progress);
+                self.pool
+                    .pass(now, flow, packet.reference, progress, repeatable)
+            }
             Kind::Open(_) if !self.confirmed => Err(Code::EntryStarting),
             Kind::Open(_) => {
                 let FlowKey { route, .. } = packet.flow;
-                let targets = self.routes.get(&route).ok_or(Code::PacketAddress)?;
+                let destination = self.routes.get(&route).ok_or(Code::PacketAddress)?;
+                let targets = &destination.targets;
                 match self.pool.open(now, packet.flow, targets, random) {
                     Err(Code::FlowNoEndpoint) if now < self.learning => Err(Code::EntryStarting),
                     result => result,
@@ -235,7 +248,11 @@
                         weight: share.weight,
                     })
                 });
-                (route.address, targets.collect())
+                let destination = Destination {
+                    repeatable: route.repeatable,
+                    targets: targets.collect(),
+                };
+                (route.address, destination)
             })
             .collect();
     }
--- a/crates/placement/src/endpoint.rs
+++ b/crates/placement/src/endpoint.rs
@@ -6,6 +6,7 @@
 };
 
 use crate::{
+    flow::Request,
     load::Load,
     reference::Reference, //
 };
@@ -18,6 +19,10 @@
     pub struct ServiceKey;
 }
 
+/// Repeats of a request after which its endpoint is taken to be out of reach: an endpoint that is
+/// only slow acknowledges what it gets.
+const REPEATS: u32 = 2;
+
 /// First time for which an endpoint gets no new flow after one that it did not answer; doubles with
 /// each further one. As long as a caller waits before it sends its second copy.
 const AVOID_FIRST: Duration = Duration::from_millis(200);
@@ -67,6 +72,11 @@
     pub(crate) own: Load,
     /// Until when it gets no new flow, and how many it has not answered in a row.
     pub(crate) avoid: (Duration, u32),
+    /// Whether a request went unanswered, although it was sent three times, and nothing else came
+    /// from the endpoint meanwhile.
+    pub(crate) mute: bool,
+    /// When a packet of a caller last showed that it answers.
+    pub(crate) sign: Option<Duration>,
 }
 
 impl Endpoint {
@@ -78,11 +88,13 @@
             elsewhere: Load::default(),
             incarnation,
             local: true,
+            mute: false,
             name: name.into(),
             own: Load::default(),
             phase: Phase::Ready,
             reference: Reference::to(name),
             service,
+            sign: None,
             slots: 1,
             tag: 0,
             warm: Duration::ZERO,
@@ -130,8 +142,21 @@
     }
 
     /// Notes that it answered.
-    pub(crate) fn answered(&mut self) {
+    pub(crate) fn answered(&mut self, now: Duration) {
         self.avoid = (Duration::ZERO, 0);
+        self.mute = false;
+        self.sign = Some(now);
+    }
+
+    /// Notes that a request was sent again; returns whether the endpoint is not reached: it has
+    /// shown no sign since the request came, and one has been sent three times by now.
+    pub(crate) fn unanswered(&mut self, now: Duration, request: Request) -> bool {
+        if self.sign.is_some_and(|sign| sign >= request.since) {
+            return false;
+        }
+        self.missed(now);
+        self.mute |= request.repeats >= REPEATS;
+        self.mute
     }
 
     /// Notes that it did not answer a new flow.
--- a/crates/placement/src/flow.rs
+++ b/crates/placement/src/flow.rs
@@ -38,9 +38,44 @@
     pub endpoint: EndpointKey,
     /// Whether the endpoint has answered the opening packet.
     pub open: bool,
-    /// The request that the endpoint has not begun to answer: when it came, what the caller had
-    /// acknowledged then, and its first byte.
-    pub request: Option<(Duration, u32, u32)>,
+    /// The request that the endpoint has not begun to answer.
+    pub request: Option<Request>,
     /// When the last packet came.
     pub seen: Duration,
 }
+
+/// A request that the endpoint has not begun to answer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Request {
+    /// What the caller had acknowledged when it sent the request.
+    pub acknowledged: u32,
+    /// When its last packet came.
+    pub last: Duration,
+    /// How often its last packet was sent again, as far as it passed this entry.
+    pub repeats: u32,
+    /// Its last packet's first byte.
+    pub sequence: u32,
+    /// When it came.
+    pub since: Duration,
+}
+
+/// Least time between two sendings of a packet: one that comes sooner waited on its way.
+const RESEND: Duration = Duration::from_millis(150);
+
+impl Request {
+    /// Notes a packet of the request; returns whether the caller sent it again.
+    pub fn take(&mut self, now: Duration, progress: Progress) -> bool {
+        let again = progress.sequence == self.sequence;
+        if !again {
+            self.sequence = progress.sequence;
+            self.last = now;
+            return false;
+        }
+        if now.saturating_sub(self.last) < RESEND {
+            return false;
+        }
+        self.last = now;
+        self.repeats += 1;
+        true
+    }
+}
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -21,7 +21,8 @@
     flow::{
         Flow,
         FlowKey,
-        Progress, //
+        Progress,
+        Request, //
     },
     load::Load,
     reference::Reference, //
@@ -41,6 +42,10 @@
 /// Time after which a request that got no answer counts no longer: its caller has given up.
 const REQUEST: Duration = Duration::from_secs(10);
 
+/// Time without a tick after which the process has stood still; and for how long its own view of
+/// endpoints counts little then. A few ticks.
+const STALL: Duration = Duration::from_secs(1);
+
 /// A service that a route names.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Target {
@@ -59,6 +64,10 @@
     names: HashMap<Box<str>, EndpointKey>,
     references: HashMap<Reference, EndpointKey>,
     services: HashMap<Box<str>, ServiceKey>,
+    /// Until when the process counts as having stood still.
+    stalled: Duration,
+    /// When the last tick came.
+    ticked: Duration,
     service_names: SlotMap<ServiceKey, Box<str>>,
 }
 
@@ -148,13 +157,15 @@
     /// # Errors
     ///
     /// [`Code::FlowUnknown`] if the packet has no reference or one that is not known here,
-    /// [`Code::FlowEndpointGone`] if the endpoint has left.
+    /// [`Code::FlowEndpointGone`] if the endpoint has left, [`Code::FlowEndpointMute`] if it is out
+    /// of reach while a request waits that may be sent anew (`repeatable`).
     pub fn pass(
         &mut self,
         now: Duration,
         flow: FlowKey,
         reference: Option<Reference>,
         progress: Progress,
+        repeatable: bool,
     ) -> Result<EndpointKey, Code> {
         let key = reference
             .and_then(|reference| self.references.get(&reference).copied())
@@ -164,7 +175,11 @@
             self.drop_flow(&flow);
             return Err(Code::FlowEndpointGone);
         }
-        self.note(now, flow, key, progress);
+        let stalled = self.stalled(now);
+        if self.note(now, flow, key, progress) && repeatable && !stalled {
+            self.drop_flow(&flow);
+            return Err(Code::FlowEndpointMute);
+        }
         Ok(key)
     }
 
@@ -191,8 +206,19 @@
         }
     }
 
+    /// Whether this process stood still a moment ago, so that packets waited for it and it is no
+    /// witness of what endpoints did.
+    fn stalled(&mut self, now: Duration) -> bool {
+        if now.saturating_sub(self.ticked) > STALL {
+            self.stalled = now + STALL;
+        }
+        now < self.stalled
+    }
+
     /// Forgets flows that are over; to be called a few times a second.
     pub fn tick(&mut self, now: Duration) {
+        let _noted = self.stalled(now);
+        self.ticked = now;
         let over: Vec<_> = self
             .flows
             .iter()
@@ -212,7 +238,7 @@
         for flow in self.flows.values_mut() {
             let stuck = flow
                 .request
-                .is_some_and(|(since, _, _)| now.saturating_sub(since) > REQUEST);
+                .is_some_and(|request| now.saturating_sub(request.since) > REQUEST);
             if stuck && let Some(endpoint) = endpoints.get_mut(flow.endpoint) {
                 flow.request = None;
                 endpoint.own.busy = endpoint.own.busy.saturating_sub(1);
@@ -331,7 +357,14 @@
         }
     }
 
-    fn note(&mut self, now: Duration, key: FlowKey, endpoint: EndpointKey, progress: Progress) {
+    /// Notes what a packet tells; returns whether the flow's endpoint is out of reach.
+    fn note(
+        &mut self,
+        now: Duration,
+        key: FlowKey,
+        endpoint: EndpointKey,
+        progress: Progress,
+    ) -> bool {
         let held = self.flows.get(&key);
         if held.is_none_or(|flow| flow.endpoint != endpoint) {
             self.drop_flow(&key);
@@ -347,12 +380,12 @@
         let (Some(flow), Some(endpoint)) =
             (self.flows.get_mut(&key), self.endpoints.get_mut(endpoint))
         else {
-            return;
+            return false;
         };
         flow.seen = now;
         if !flow.open {
             flow.open = true;
-            endpoint.answered();
+            endpoint.answered(now);
         }
         if progress.closing && !flow.closed {
             flow.closed = true;
@@ -360,14 +393,28 @@
         }
         let moved = flow
             .request
-            .is_some_and(|(_, acknowledged, _)| progress.acknowledged != acknowledged);
+            .is_some_and(|request| progress.acknowledged != request.acknowledged);
+        if moved {
+            endpoint.answered(now);
+        }
         if moved || (progress.closing && flow.request.is_some()) {
             flow.request = None;
             endpoint.own.busy = endpoint.own.busy.saturating_sub(1);
         }
-        if progress.length > 0 && flow.request.is_none() && !flow.closed {
-            flow.request = Some((now, progress.acknowledged, progress.sequence));
-            endpoint.own.busy += 1;
+        match &mut flow.request {
+            _ if progress.length == 0 || flow.closed => false,
+            Some(request) => request.take(now, progress) && endpoint.unanswered(now, *request),
+            None => {
+                flow.request = Some(Request {
+                    acknowledged: progress.acknowledged,
+                    last: now,
+                    repeats: 0,
+                    sequence: progress.sequence,
+                    since: now,
+                });
+                endpoint.own.busy += 1;
+                false
+            }
         }
     }
 }
