--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::RefCell,
     collections::BTreeSet,
+    convert::Infallible,
     io,
     net::SocketAddrV4,
     pin::pin,
@@ -18,6 +19,7 @@
 use rand::seq::IteratorRandom as _;
 
 use crate::{
+    backoff::Backoff,
     border::Border,
     entry::Entry,
     frames::{
@@ -34,7 +36,7 @@
     view::SOURCES, //
 };
 
-/// Pause before another store is tried.
+/// Pause while no store is known.
 const PAUSE: Duration = Duration::from_millis(150);
 
 /// Time between two reports of loads.
@@ -74,6 +76,7 @@
 
 async fn follow<B: Border>(entry: Rc<Entry>, stores: Rc<RefCell<Stores>>, slot: usize) {
     let mut last = None;
+    let mut backoff = Backoff::default();
     loop {
         let seeds = entry.seeds.borrow().clone();
         let drawn = stores.borrow().draw(&seeds, last);
@@ -83,12 +86,12 @@
         };
         last = Some(address);
         set(&stores, slot, Some(address));
-        let Err(error) = session::<B>(&entry, &stores, slot, address).await;
+        let Err(error) = session::<B>(&entry, &stores, slot, address, &mut backoff).await;
         log::info!(store = address.to_string(), reason = error.to_string(); "a store is followed no longer");
         set(&stores, slot, None);
         let now = entry.clock.now();
         entry.view.borrow_mut().lose(now, slot, B::tag);
-        compio::time::sleep(PAUSE).await;
+        compio::time::sleep(backoff.fail()).await;
     }
 }
 
@@ -103,8 +106,10 @@
     stores: &RefCell<Stores>,
     slot: usize,
     address: SocketAddrV4,
-) -> io::Result<std::convert::Infallible> {
-    let stream = connect(address).await?;
+    backoff: &mut Backoff,
+) -> io::Result<Infallible> {
+    let stream = connect(address, backoff.patience()).await?;
+    backoff.succeed();
     let (mut sender, receiver) = frames::<Hello, Push>(stream);
     let hello = Hello::Entry {
         name: entry.settings.name.clone(),
@@ -124,7 +129,7 @@
     stores: &RefCell<Stores>,
     slot: usize,
     mut receiver: Receiver<Push>,
-) -> io::Result<std::convert::Infallible> {
+) -> io::Result<Infallible> {
     loop {
         let push = receiver.next().await?;
         if !push.stores.is_empty() {
@@ -139,11 +144,7 @@
 }
 
 /// Reports loads to the first store that is followed, and shows the others that the entry runs.
-async fn report(
-    entry: &Entry,
-    slot: usize,
-    mut sender: Sender<Sight>,
-) -> io::Result<std::convert::Infallible> {
+async fn report(entry: &Entry, slot: usize, mut sender: Sender<Sight>) -> io::Result<Infallible> {
     let reports = slot == 0;
     loop {
         let loads = match reports {
--- a/crates/edge/src/frames.rs
+++ b/crates/edge/src/frames.rs
@@ -34,11 +34,6 @@
     },
 };
 
-/// Time after which a connection that is not made is tried anew: longer than the way between two
-/// regions and back, and shorter than the system waits before it sends an opening packet again to
-/// a machine that was dark.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Time after which a connection is given up from which nothing came, or which takes nothing: a
 /// few of the frames that show that the other end still runs.
 const SILENCE: Duration = Duration::from_millis(1_700);
@@ -66,9 +61,9 @@
 ///
 /// # Errors
 ///
-/// What the system reported; a time-out if the instance does not answer.
-pub async fn connect(address: SocketAddrV4) -> io::Result<TcpStream> {
-    compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+/// What the system reported; a time-out if the instance does not answer in time.
+pub async fn connect(address: SocketAddrV4, patience: Duration) -> io::Result<TcpStream> {
+    compio::time::timeout(patience, TcpStream::connect(address))
         .await
         .map_err(|_| late())?
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,6 +5,7 @@
 //! `announcements`, `placement` and `store`; this one moves bytes between them and the sockets, the
 //! disk and the clock.
 
+mod backoff;
 mod border;
 mod clock;
 mod control;
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -1,6 +1,7 @@
 //! A store's connections to the other stores.
 
 use std::{
+    convert::Infallible,
     io,
     net::SocketAddrV4,
     pin::pin,
@@ -15,6 +16,7 @@
 };
 
 use crate::{
+    backoff::Backoff,
     frames::{
         Receiver,
         Sender,
@@ -32,9 +34,6 @@
 /// Time between two frames to a store if nothing has to be told at once.
 const BEAT: Duration = Duration::from_millis(250);
 
-/// Pause before a store that did not answer is called again.
-const PAUSE: Duration = Duration::from_millis(150);
-
 /// Takes note of stores, and keeps a connection to each.
 pub fn learn(stock: &Rc<Stock>, addresses: impl IntoIterator<Item = SocketAddrV4>) {
     for address in addresses {
@@ -48,8 +47,9 @@
 /// Keeps a connection to a store for as long as it is known.
 async fn keep(stock: Rc<Stock>, address: SocketAddrV4) {
     let mut lost = false;
+    let mut backoff = Backoff::default();
     loop {
-        let Err(error) = session(&stock, address, &mut lost).await;
+        let Err(error) = session(&stock, address, &mut lost, &mut backoff).await;
         if !lost {
             log::info!(store = address.to_string(), reason = error.to_string(); "another store is not reached");
             lost = true;
@@ -58,7 +58,7 @@
             Some(peer) => peer.queue.clear(),
             None => return,
         }
-        compio::time::sleep(PAUSE).await;
+        compio::time::sleep(backoff.fail()).await;
     }
 }
 
@@ -66,8 +66,10 @@
     stock: &Rc<Stock>,
     address: SocketAddrV4,
     lost: &mut bool,
-) -> io::Result<std::convert::Infallible> {
-    let stream = connect(address).await?;
+    backoff: &mut Backoff,
+) -> io::Result<Infallible> {
+    let stream = connect(address, backoff.patience()).await?;
+    backoff.succeed();
     let (mut sender, receiver) = frames::<Hello, Receipt>(stream);
     sender.send(&Hello::Store(stock.member.clone())).await?;
     if *lost {
@@ -85,7 +87,7 @@
     stock: &Stock,
     address: SocketAddrV4,
     mut sender: Sender<Gossip>,
-) -> io::Result<std::convert::Infallible> {
+) -> io::Result<Infallible> {
     let mut told = 0;
     let mut beat = Duration::ZERO;
     loop {
@@ -135,7 +137,7 @@
     stock: &Stock,
     address: SocketAddrV4,
     mut receiver: Receiver<Receipt>,
-) -> io::Result<std::convert::Infallible> {
+) -> io::Result<Infallible> {
     loop {
         let receipt = receiver.next().await?;
         if let Some(peer) = stock.peers.borrow_mut().get_mut(address) {
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -15,7 +15,7 @@
 
 /// What the way to another data centre counts, in requests for each slot: a hop is short beside the
 /// work, but a flow that stays at home survives a cut.
-const HOP_WEIGHT: f64 = 0.2;
+const HOP_WEIGHT: f64 = 1.0;
 
 /// Speed of an endpoint that has just started, beside one that is warm.
 const COLD_SPEED: f64 = 0.6;
