--- a/crates/placement/src/endpoint.rs
+++ b/crates/placement/src/endpoint.rs
@@ -23,6 +23,9 @@
 /// only slow acknowledges what it gets.
 const REPEATS: u32 = 2;
 
+/// Part of the mean work time that the latest request makes up: about ten requests are remembered.
+const WORK_PART: f64 = 0.1;
+
 /// First time for which an endpoint gets no new flow after one that it did not answer; doubles with
 /// each further one. As long as a caller waits before it sends its second copy.
 const AVOID_FIRST: Duration = Duration::from_millis(200);
@@ -75,6 +78,9 @@
     /// Whether a request went unanswered, although it was sent three times, and nothing else came
     /// from the endpoint meanwhile.
     pub(crate) mute: bool,
+    /// Time from a request's last packet to the first sign of its answer, in seconds, as a moving
+    /// mean; none before the first one.
+    pub(crate) work: Option<f64>,
     /// When a packet of a caller last showed that it answers.
     pub(crate) sign: Option<Duration>,
 }
@@ -98,6 +104,7 @@
             slots: 1,
             tag: 0,
             warm: Duration::ZERO,
+            work: None,
         }
     }
 
@@ -148,6 +155,13 @@
         self.sign = Some(now);
     }
 
+    /// Notes how long it took to begin to answer a request.
+    pub(crate) fn worked(&mut self, time: Duration) {
+        let time = time.as_secs_f64();
+        let mean = self.work.unwrap_or(time);
+        self.work = Some(mean + (time - mean) * WORK_PART);
+    }
+
     /// Notes that a request was sent again; returns whether the endpoint is not reached: it has
     /// shown no sign since the request came, and one has been sent three times by now.
     pub(crate) fn unanswered(&mut self, now: Duration, request: Request) -> bool {
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -304,12 +304,18 @@
         let service = endpoint.service;
         *held = Endpoint {
             avoid: held.avoid,
+            mute: held.mute,
+            sign: held.sign,
+            work: held.work,
             elsewhere: held.elsewhere,
             own: held.own,
             ..endpoint
         };
         if reborn {
             held.avoid = (Duration::ZERO, 0);
+            held.mute = false;
+            held.sign = None;
+            held.work = None;
             held.own = Load::default();
             self.flows.retain(|_, flow| flow.endpoint != key);
         }
@@ -394,8 +400,11 @@
         let moved = flow
             .request
             .is_some_and(|request| progress.acknowledged != request.acknowledged);
-        if moved {
+        if let (true, Some(request)) = (moved, flow.request) {
             endpoint.answered(now);
+            if request.repeats == 0 {
+                endpoint.worked(now.saturating_sub(request.last));
+            }
         }
         if moved || (progress.closing && flow.request.is_some()) {
             flow.request = None;
