An endpoint is chosen among a few that are drawn by lot

Change: the least cost among 4 endpoints of the own data centre and 4 others that are drawn; one more request is counted.

Conclusion: with a late view, a lot among a few beats the best of all.

--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use rand::Rng;
+use rand::{
+    Rng,
+    seq::SliceRandom as _, //
+};
 
 use crate::endpoint::{
     Endpoint,
@@ -23,9 +26,8 @@
 /// Least speed that an endpoint is taken to have, beside the others of its service.
 const SLOWEST: f64 = 0.2;
 
-/// Largest part of the cost that is drawn by lot, so that entries with the same view don't choose
-/// the same endpoint.
-const LOT: f64 = 0.05;
+/// Endpoints of the own data centre, and of the others, that are drawn for each choice.
+const DRAWN: usize = 4;
 
 /// How good an endpoint is for a new flow.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -60,33 +62,37 @@
         true => 0.0,
         false => HOP_WEIGHT,
     };
-    let requests = f64::from(load.busy) + f64::from(load.flows) * FLOW_WEIGHT;
+    let requests = 1.0 + f64::from(load.busy) + f64::from(load.flows) * FLOW_WEIGHT;
     requests / (f64::from(endpoint.slots.max(1)) * speed) + hop
 }
 
-/// Chooses among endpoints the one with the least cost out of the best class.
-pub(crate) fn choose<'a, K>(
+/// Chooses an endpoint for a new flow: out of the best class, the one with the least cost among a
+/// few that are drawn by lot.
+///
+/// Entries hear late of what others place, so an endpoint that looks empty to all of them must not
+/// get all their new flows; a lot among a few keeps most of the gain of a choice among all.
+pub(crate) fn choose<'a, K: Copy>(
     now: Duration,
-    candidates: impl Iterator<Item = (K, &'a Endpoint)> + Clone,
+    candidates: impl Iterator<Item = (K, &'a Endpoint)>,
     random: &mut impl Rng,
 ) -> Option<K> {
-    let (times, sum) = candidates
-        .clone()
-        .filter_map(|(_, endpoint)| endpoint.work)
-        .fold((0.0, 0.0), |(times, sum), work| (times + 1.0, sum + work));
-    let usual = sum / f64::max(times, 1.0);
-    let mut best: Option<(Class, f64, K)> = None;
-    for (key, endpoint) in candidates {
-        let Some(class) = class(now, endpoint) else {
-            continue;
-        };
-        let cost = cost(now, endpoint, usual) + random.random::<f64>() * LOT;
-        let better = best
-            .as_ref()
-            .is_none_or(|(other, least, _)| (class, cost) < (*other, *least));
-        if better {
-            best = Some((class, cost, key));
-        }
-    }
-    best.map(|(_, _, key)| key)
+    let mut usable: Vec<_> = candidates
+        .filter_map(|(key, endpoint)| Some((class(now, endpoint)?, key, endpoint)))
+        .collect();
+    let best = usable.iter().map(|(class, _, _)| *class).min()?;
+    usable.retain(|(class, _, _)| *class == best);
+    let works: Vec<_> = usable
+        .iter()
+        .filter_map(|(_, _, endpoint)| endpoint.work)
+        .collect();
+    let count = u32::try_from(works.len()).map_or(1.0, f64::from);
+    let usual = works.iter().sum::<f64>() / f64::max(count, 1.0);
+    usable.shuffle(random);
+    let (local, remote): (Vec<_>, Vec<_>) =
+        usable.iter().partition(|(_, _, endpoint)| endpoint.local);
+    let drawn = local.iter().take(DRAWN).chain(remote.iter().take(DRAWN));
+    let costs = drawn.map(|(_, key, endpoint)| (cost(now, endpoint, usual), *key));
+    costs
+        .min_by(|(one, _), (other, _)| one.total_cmp(other))
+        .map(|(_, key)| key)
 }
--- /dev/null
+++ b/crates/placement/tests/load.rs
@@ -0,0 +1,164 @@
+//! Patterns of load: who gets the flows when many entries choose with a view that lags.
+
+use std::{
+    collections::HashMap,
+    time::Duration, //
+};
+
+use mimosausher_placement::{
+    Endpoint,
+    FlowKey,
+    Load,
+    Pool,
+    Progress,
+    Reference,
+    Target, //
+};
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+/// Requests that an endpoint works on.
+const SLOTS: u16 = 2;
+
+/// Requests that an endpoint holds, those in its queue among them.
+const HELD: u32 = 10;
+
+/// Several entries, each with a pool of its own.
+struct Entries {
+    entries: Vec<(Pool, ChaCha8Rng)>,
+    placed: HashMap<Box<str>, u32>,
+    targets: Vec<Target>,
+}
+
+impl Entries {
+    /// Entries that know the same endpoints: some of their own data centre, the others not.
+    fn new(count: u64, local: u8, remote: u8) -> Self {
+        let mut entries = Vec::new();
+        let mut targets = Vec::new();
+        for seed in 0..count {
+            let mut pool = Pool::new();
+            let service = pool.service("s");
+            targets = vec![Target { service, weight: 1 }];
+            for number in 0..local + remote {
+                let name = format!("i-{number}");
+                let address = format!("10.0.0.{number}:80").parse().unwrap();
+                let endpoint = Endpoint::new(&name, 1, address, service).with_slots(SLOTS);
+                pool.update(match number < local {
+                    true => endpoint,
+                    false => endpoint.with_remote(),
+                });
+            }
+            entries.push((pool, ChaCha8Rng::seed_from_u64(seed)));
+        }
+        Self {
+            entries,
+            placed: HashMap::new(),
+            targets,
+        }
+    }
+
+    /// Tells all entries what the others see of an endpoint.
+    fn tell(&mut self, name: &str, load: Load) {
+        for (pool, _) in &mut self.entries {
+            pool.elsewhere(Reference::to(name), load);
+        }
+    }
+
+    /// Opens a flow at each entry.
+    fn open(&mut self, now: Duration, port: u16) {
+        for (entry, (pool, random)) in self.entries.iter_mut().enumerate() {
+            let flow = FlowKey {
+                caller: format!("100.64.1.{entry}:{port}").parse().unwrap(),
+                route: "198.18.0.1:443".parse().unwrap(),
+            };
+            let key = pool.open(now, flow, &self.targets, random).unwrap();
+            let name = pool.get(key).unwrap().name.clone();
+            *self.placed.entry(name).or_default() += 1;
+        }
+    }
+}
+
+/// A release at a large deployment: a new endpoint joins 29 that are in use, and each of 60 entries
+/// opens one flow before it hears what the others did.
+#[test]
+fn open_empty_endpoint_among_busy_ones() {
+    let mut entries = Entries::new(60, 30, 90);
+    for number in 1..120 {
+        entries.tell(&format!("i-{number}"), Load { busy: 1, flows: 10 });
+    }
+    entries.open(Duration::ZERO, 1);
+    let most = entries.placed.values().max().copied().unwrap();
+    assert!(most <= HELD, "{:?}", entries.placed);
+}
+
+/// Callers return all at once to a few entries that have just started.
+#[test]
+fn open_herd_after_a_restart() {
+    let mut entries = Entries::new(9, 4, 10);
+    for port in 0..4 {
+        entries.open(Duration::from_millis(u64::from(port)), port);
+    }
+    let most = entries.placed.values().max().copied().unwrap();
+    assert!(most <= HELD, "{:?}", entries.placed);
+}
+
+/// Calm: all flows stay in the data centre.
+#[test]
+fn open_calm_day() {
+    let mut entries = Entries::new(3, 4, 12);
+    for port in 0..6 {
+        entries.open(Duration::ZERO, port);
+    }
+    for number in 4..16 {
+        assert_eq!(entries.placed.get(format!("i-{number}").as_str()), None);
+    }
+}
+
+/// All callers are in one data centre: its endpoints overflow to the others before they queue.
+#[test]
+fn open_crowded_data_centre() {
+    let mut entries = Entries::new(1, 4, 12);
+    for number in 0..4 {
+        let busy = 3 * u32::from(SLOTS);
+        entries.tell(&format!("i-{number}"), Load { busy, flows: 40 });
+    }
+    entries.open(Duration::ZERO, 1);
+    assert!((0..4).all(|number| !entries.placed.contains_key(format!("i-{number}").as_str())));
+}
+
+/// One endpoint works five times as long as the others: it gets fewer flows than its even share.
+#[test]
+fn open_slow_endpoint() {
+    let mut entries = Entries::new(1, 4, 0);
+    let (pool, random) = &mut entries.entries[0];
+    let mut slow = 0;
+    for round in 0..200_u64 {
+        let start = Duration::from_millis(round * 1_000);
+        pool.tick(start);
+        for port in 0..4 {
+            let flow = FlowKey {
+                caller: format!("100.64.1.1:{}", round * 4 + port).parse().unwrap(),
+                route: "198.18.0.1:443".parse().unwrap(),
+            };
+            let key = pool.open(start, flow, &entries.targets, random).unwrap();
+            let name = pool.get(key).unwrap().name.clone();
+            let work = if *name == *"i-0" { 150 } else { 30 };
+            slow += u32::from(work == 150);
+            let reference = Some(Reference::to(&name));
+            let request = Progress {
+                length: 10,
+                ..Progress::default()
+            };
+            let answered = Progress {
+                acknowledged: 9,
+                closing: true,
+                ..Progress::default()
+            };
+            let done = start + Duration::from_millis(work);
+            pool.pass(start, flow, reference, request, true).unwrap();
+            pool.pass(done, flow, reference, answered, true).unwrap();
+        }
+    }
+    // An even share would be 200 of the 800 flows.
+    assert!(slow < 100, "{slow}");
+}
