A store that was replaced while it was silent asks to be taken in again

Cause (tend_silent_voter, new): a voter that the leader replaced after 8 s of silence still took itself for a member when it returned, and never asked; each such outage would have cost the deployment a store for good.

Change: a store also asks if it hears no leader.

--- a/crates/edge/src/stock.rs
+++ b/crates/edge/src/stock.rs
@@ -79,8 +79,7 @@
 
     /// Whether this store asks to be taken in as a member.
     pub fn joins(&self) -> bool {
-        let replica = self.replica.borrow();
-        replica.raft().members().get(self.member.id).is_none()
+        self.replica.borrow().raft().outside(self.clock.now())
     }
 
     /// Loads that the entries that follow this store reported lately, summed up.
--- a/crates/store/src/raft.rs
+++ b/crates/store/src/raft.rs
@@ -177,6 +177,12 @@
         started && self.confirmed(now)
     }
 
+    /// Whether the store has reason to ask to be taken in: as far as it knows it is no member, or
+    /// it hears no leader, as after it was replaced while it was silent.
+    pub fn outside(&self, now: Duration) -> bool {
+        self.log.members().get(self.id).is_none() || !(self.leads() || self.confirmed(now))
+    }
+
     /// When [`Event::Tick`] is due.
     pub fn due(&self) -> Duration {
         match &self.role {
--- a/crates/store/tests/world/mod.rs
+++ b/crates/store/tests/world/mod.rs
@@ -140,6 +140,42 @@
         world
     }
 
+    /// Stores of which the first `founders` found a group at the same time.
+    pub fn founded(count: usize, founders: usize, timing: Timing) -> Self {
+        let mut world = Self::new(0, timing);
+        let members = Members((0..founders).map(member).collect());
+        for number in 0..count {
+            let saved = Saved::default();
+            world.nodes.push(Node {
+                clock: Duration::ZERO,
+                raft: raft(id(number), &saved, timing),
+                saved,
+            });
+            if number < founders {
+                world.event(number, Event::Found(ClusterId(7), members.clone()));
+            }
+        }
+        world
+    }
+
+    /// Lets each store that is no member ask the leader to be taken in.
+    pub fn join(&mut self) {
+        let Some(leader) = self.leader() else {
+            return;
+        };
+        for number in 0..self.nodes.len() {
+            let node = &self.nodes[number];
+            let id = node.raft.id();
+            if node.raft.outside(node.clock) {
+                let asking = Member {
+                    id,
+                    ..member(number)
+                };
+                self.event(leader, Event::Join(asking));
+            }
+        }
+    }
+
     /// Gives an event to a store, carries out what it asks for, and checks.
     pub fn event(&mut self, number: usize, event: Event) {
         let fault = self.fault;
