--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -49,6 +49,8 @@
     pub inner: u16,
     /// Stores whose disks may be lost at once.
     pub losses: usize,
+    /// Port of the metrics; none if they are not served.
+    pub metrics: Option<u16>,
     /// The instance's name.
     pub name: Box<str>,
     /// Where packets of routers arrive; entries only.
