Logs that are never waited for, a line for each decision about a flow, metrics

Cause: the log was written to standard output by the one loop, so that a reader that stops would have stopped the packets; no figures were served.

Change: lines wait in a bounded queue for a thread of their own, what does not fit is counted; 20 lines a second for each kind of decision; counters, gauges and a histogram on the metrics port.

Ruled out: a file, since entries have no disk.

Conclusion: a reader that stops costs lines (log_unread_pipe), a flood costs 20 lines a second (log_flood_of_one_kind).

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -84,7 +84,15 @@
         let stock = self.stock.clone();
         async move {
             let (parts, body) = request.into_parts();
+            let start = stock.clock.now();
             let result = answer::<B>(&stock, &parts, body).await;
+            stock
+                .metrics
+                .called(stock.clock.now().saturating_sub(start));
+            if let Err((code, advice)) = &result {
+                stock.metrics.refuse(*code);
+                log::info!(code = code.number(), path = parts.uri.path(); "{advice}");
+            }
             B::answer(&parts, result)
         }
     }
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -23,6 +23,7 @@
     },
     runtime::spawn,
 };
+use placement::Phase;
 use process::{
     Signals,
     Stop, //
@@ -36,10 +37,14 @@
         Packet, //
     },
     clock::Clock,
+    decisions::Decisions,
     error::Error,
     follow,
+    metrics::{
+        Metrics,
+        gauge, //
+    },
     ready::Ready,
-    refusals::Refusals,
     reload::until_stop,
     settings::Settings,
     view::View, //
@@ -69,7 +74,7 @@
 #[derive(Debug)]
 pub struct Entry {
     pub clock: Clock,
-    pub refusals: Refusals,
+    pub decisions: Decisions,
     /// Inner addresses of the stores that the settings name.
     pub seeds: RefCell<Vec<SocketAddrV4>>,
     pub settings: Settings,
@@ -98,7 +103,7 @@
         clock: Clock::new(),
         packet: Cell::default(),
         random: RefCell::new(ChaCha8Rng::seed_from_u64(rand::random())),
-        refusals: Refusals::default(),
+        decisions: Decisions::new(Metrics::new()),
         seeds: RefCell::new(settings.seeded()),
         stop: Rc::default(),
         view: RefCell::new(View::new(&settings.centre, settings.heartbeat() + LEARN)),
@@ -112,6 +117,7 @@
         Ready::<B>::new(entry.clone()),
     ))
     .detach();
+    expose(&entry).await?;
     follow::start::<B>(&entry);
     spawn(tick(entry.clone())).detach();
     let apply = |settings: Settings| *entry.seeds.borrow_mut() = settings.seeded();
@@ -140,7 +146,43 @@
     loop {
         compio::time::sleep(TICK).await;
         entry.view.borrow_mut().tick(entry.clock.now());
-        entry.refusals.report(entry.clock.now());
+        entry.decisions.report(entry.clock.now());
+        measure(&entry);
+    }
+}
+
+/// Serves the metrics, if the settings say so.
+async fn expose(entry: &Entry) -> Result<(), Error> {
+    let Some(port) = entry.settings.metrics else {
+        return Ok(());
+    };
+    let address = SocketAddrV4::new(entry.settings.address, port);
+    let listener = TcpListener::bind(address).await.map_err(Error::Listen)?;
+    let metrics = entry.decisions.metrics.clone();
+    spawn(process::serve(entry.stop.clone(), listener, metrics)).detach();
+    Ok(())
+}
+
+/// Brings the gauges up to what the entry knows.
+fn measure(entry: &Entry) {
+    let (view, metrics) = (entry.view.borrow(), &entry.decisions.metrics);
+    metrics.flows.set(gauge(view.pool().flows()));
+    metrics
+        .version
+        .set(i64::try_from(view.version()).unwrap_or(i64::MAX));
+    metrics.stores.set(gauge(view.followed()));
+    metrics.quorum.set(i64::from(view.current()));
+    for (name, phase) in [
+        ("draining", Phase::Draining),
+        ("gone", Phase::Gone),
+        ("ready", Phase::Ready),
+        ("silent", Phase::Silent),
+    ] {
+        let endpoints = view.pool().iter();
+        metrics.phase(
+            name,
+            endpoints.filter(|endpoint| endpoint.phase == phase).count(),
+        );
     }
 }
 
@@ -153,12 +195,13 @@
         buffer = filled;
         if received.is_ok() {
             entry.packet.set(entry.clock.now());
+            entry.decisions.metrics.packets.inc();
             out.clear();
             if let Some(to) = step::<B>(&entry, &buffer, port, &mut out) {
                 let BufResult(sent, returned) = socket.send_to(out, to).await;
                 out = returned;
                 if let Err(error) = sent {
-                    entry.refusals.unsent(&error);
+                    entry.decisions.unsent(&error);
                 }
             }
         }
@@ -176,7 +219,7 @@
     let packet = match B::packet(datagram) {
         Ok(packet) => packet,
         Err(code) => {
-            entry.refusals.count(code);
+            entry.decisions.unreadable(code);
             return None;
         }
     };
@@ -185,12 +228,13 @@
     let code = match view.route(entry.clock.now(), &packet, &mut *random) {
         Ok(key) => {
             let endpoint = view.pool().get(key)?;
+            entry.decisions.placed(&packet, endpoint, view.version());
             B::forward(datagram, endpoint, out);
             return Some(endpoint.address.into());
         }
         Err(code) => code,
     };
-    entry.refusals.flow(&packet, code);
+    entry.decisions.refused(&packet, code, view.version());
     reset::<B>(&packet, code, port, out)
 }
 
--- /dev/null
+++ b/crates/edge/src/metrics.rs
@@ -0,0 +1,168 @@
+//! The process's metrics, in the Prometheus text format.
+
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use codes::Code;
+use http_body_util::Full;
+use hyper::{
+    Request, Response, StatusCode,
+    body::{
+        Bytes,
+        Incoming, //
+    },
+};
+use process::Handler;
+use prometheus_client::{
+    encoding::{
+        EncodeLabelSet,
+        text::encode, //
+    },
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::Histogram, //
+    },
+    registry::Registry,
+};
+
+/// Upper ends of the histograms' buckets, in seconds: from a sync of a fast disk to the longest
+/// that a caller waits.
+const BUCKETS: [f64; 9] = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0];
+
+/// The label of counters by result code.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
+pub struct CodeLabel {
+    /// Number of the code.
+    pub code: u16,
+}
+
+/// The label of gauges by phase of an endpoint.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
+pub struct PhaseLabel {
+    /// Name of the phase.
+    pub phase: String,
+}
+
+/// All metrics of the process.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    /// Time that calls of endpoints and operators took.
+    pub calls: Histogram,
+    /// Copies of opening packets: each one means that an endpoint did not answer in time.
+    pub copies: Counter,
+    /// Endpoints by phase.
+    pub endpoints: Family<PhaseLabel, Gauge>,
+    /// Flows that the entry remembers.
+    pub flows: Gauge,
+    /// Whether this store leads: 1 or 0.
+    pub leads: Gauge,
+    /// Packets that came.
+    pub packets: Counter,
+    /// Flows that were placed.
+    pub placed: Counter,
+    /// Whether a quorum was in contact lately, or a current store is followed: 1 or 0.
+    pub quorum: Gauge,
+    /// Refusals by result code.
+    pub refusals: Family<CodeLabel, Counter>,
+    /// Stores that are followed or reached.
+    pub stores: Gauge,
+    /// Datagrams that the system did not take.
+    pub unsent: Counter,
+    /// Version of the document in force.
+    pub version: Gauge,
+    registry: Rc<Registry>,
+}
+
+impl Metrics {
+    /// Creates the metrics, all at zero.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("mimosausher");
+        let calls = Histogram::new(BUCKETS);
+        let (copies, packets) = (Counter::default(), Counter::default());
+        let (placed, unsent) = (Counter::default(), Counter::default());
+        let (flows, leads, quorum) = (Gauge::default(), Gauge::default(), Gauge::default());
+        let (stores, version) = (Gauge::default(), Gauge::default());
+        let endpoints = Family::default();
+        let refusals = Family::default();
+        registry.register("call_seconds", "Time that calls took", calls.clone());
+        registry.register("copies", "Copies of opening packets", copies.clone());
+        registry.register("endpoints", "Endpoints by phase", endpoints.clone());
+        registry.register("flows", "Flows remembered", flows.clone());
+        registry.register("leads", "Whether this store leads", leads.clone());
+        registry.register("packets", "Packets that came", packets.clone());
+        registry.register("placed", "Flows placed", placed.clone());
+        registry.register("quorum", "Whether a quorum was in contact", quorum.clone());
+        registry.register("refusals", "Refusals by result code", refusals.clone());
+        registry.register("stores", "Stores followed or reached", stores.clone());
+        registry.register(
+            "unsent",
+            "Datagrams not taken by the system",
+            unsent.clone(),
+        );
+        registry.register("version", "Version of the document", version.clone());
+        Self {
+            calls,
+            copies,
+            endpoints,
+            flows,
+            leads,
+            packets,
+            placed,
+            quorum,
+            refusals,
+            registry: Rc::new(registry),
+            stores,
+            unsent,
+            version,
+        }
+    }
+
+    /// Counts a refusal.
+    pub fn refuse(&self, code: Code) {
+        let label = CodeLabel {
+            code: code.number(),
+        };
+        self.refusals.get_or_create(&label).inc();
+    }
+
+    /// Notes how long a call took.
+    pub fn called(&self, time: Duration) {
+        self.calls.observe(time.as_secs_f64());
+    }
+
+    /// Sets the number of endpoints in a phase.
+    pub fn phase(&self, phase: &str, count: usize) {
+        let label = PhaseLabel {
+            phase: phase.into(),
+        };
+        self.endpoints.get_or_create(&label).set(gauge(count));
+    }
+}
+
+/// A count as a gauge shows it.
+pub fn gauge(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
+impl Handler for Metrics {
+    type Body = Full<Bytes>;
+
+    fn handle(&self, _: Request<Incoming>) -> impl Future<Output = Response<Self::Body>> + 'static {
+        let mut text = String::new();
+        let encoded = encode(&mut text, &self.registry);
+        async move {
+            let mut response = Response::new(Full::new(Bytes::from(text)));
+            if let Err(error) = encoded {
+                log::error!("the metrics cannot be encoded: {error}");
+                *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            }
+            response
+        }
+    }
+}
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -17,6 +17,9 @@
 /// Most messages of the log that wait for one store; the oldest is lost first.
 const QUEUED_MESSAGES: usize = 256;
 
+/// Time since the last word for which a store counts as reached: a few of its frames.
+const REACHED: Duration = Duration::from_secs(1);
+
 /// Time without a word after which a store that is no member is forgotten.
 const FORGET: Duration = Duration::from_secs(60);
 
@@ -90,6 +93,13 @@
         }
     }
 
+    /// Number of stores that were heard lately.
+    pub fn reached(&self, now: Duration) -> usize {
+        let peers = self.peers.values();
+        let heard = peers.filter(|peer| now.saturating_sub(peer.seen) < REACHED);
+        heard.count()
+    }
+
     /// Number of stores that have all records up to an own change.
     pub fn copies(&self, change: u64) -> usize {
         let peers = self.peers.values();
--- a/crates/edge/src/stock.rs
+++ b/crates/edge/src/stock.rs
@@ -21,6 +21,7 @@
     clock::Clock,
     document::Document,
     message::Loaded,
+    metrics::Metrics,
     peers::Peers,
     settings::Settings, //
 };
@@ -51,6 +52,7 @@
     pub loads: RefCell<BTreeMap<Box<str>, Reported>>,
     /// This store as a member of the group.
     pub member: Member,
+    pub metrics: Metrics,
     pub peers: RefCell<Peers>,
     pub registry: RefCell<Registry>,
     pub replica: RefCell<Replica>,
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -45,6 +45,10 @@
     error::Error,
     links,
     memory,
+    metrics::{
+        Metrics,
+        gauge, //
+    },
     peers::Peers,
     reload::until_stop,
     serve,
@@ -84,6 +88,7 @@
     spawn(tick(stock.clone())).detach();
     let face = Control::<B>::new(stock.clone());
     spawn(process::serve(stock.stop.clone(), listener, face)).detach();
+    expose(&stock).await?;
     links::learn(&stock, stock.settings.seeded());
     let apply = |settings: Settings| {
         links::learn(&stock, settings.seeded());
@@ -96,6 +101,41 @@
     Ok(())
 }
 
+/// Serves the metrics, if the settings say so.
+async fn expose(stock: &Stock) -> Result<(), Error> {
+    let Some(port) = stock.settings.metrics else {
+        return Ok(());
+    };
+    let address = SocketAddrV4::new(stock.settings.address, port);
+    let listener = TcpListener::bind(address).await.map_err(Error::Listen)?;
+    let metrics = stock.metrics.clone();
+    spawn(process::serve(stock.stop.clone(), listener, metrics)).detach();
+    Ok(())
+}
+
+/// Brings the gauges up to what the store knows.
+fn measure(stock: &Stock) {
+    let (metrics, now) = (&stock.metrics, stock.clock.now());
+    let replica = stock.replica.borrow();
+    let version = replica.ledger().published().map_or(0, |held| held.version);
+    metrics.leads.set(i64::from(replica.raft().leads()));
+    metrics.quorum.set(i64::from(replica.raft().current(now)));
+    metrics
+        .version
+        .set(i64::try_from(version).unwrap_or(i64::MAX));
+    metrics.stores.set(gauge(stock.peers.borrow().reached(now)));
+    let registry = stock.registry.borrow();
+    let silent = registry
+        .iter()
+        .filter(|known| known.silent && !known.departed);
+    metrics.phase("silent", silent.count());
+    metrics.phase(
+        "gone",
+        registry.iter().filter(|known| known.departed).count(),
+    );
+    metrics.phase("known", registry.iter().count());
+}
+
 fn open(settings: Settings) -> Result<(Stock, Folder), Error> {
     let data = settings.data.clone().ok_or(Error::Missing("data"))?;
     let own = settings.own();
@@ -125,6 +165,7 @@
         document: RefCell::default(),
         loads: RefCell::default(),
         member: member(own, folder.id()),
+        metrics: Metrics::new(),
         peers: RefCell::new(Peers::new(own)),
         registry: RefCell::new(registry),
         replica: RefCell::new(replica),
@@ -181,6 +222,7 @@
         stock.peers.borrow_mut().tick(now, |address| {
             seeds.contains(&address) || members.contains(&address.into())
         });
+        measure(&stock);
         let before = stock.registry.borrow().count();
         stock.registry.borrow_mut().tick(now);
         let changed = stock.registry.borrow().changed(now, before);
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -45,6 +45,8 @@
 /// What one followed store says.
 #[derive(Clone, Debug, Default)]
 struct Source {
+    /// Whether the store said that it had all that a quorum had.
+    current: bool,
     /// Whether the store is followed now.
     live: bool,
     /// Endpoints that it has not heard of lately.
@@ -107,6 +109,18 @@
         self.version
     }
 
+    /// Number of stores that are followed now.
+    pub fn followed(&self) -> usize {
+        self.sources.iter().filter(|source| source.live).count()
+    }
+
+    /// Whether a store that is followed now had all that a quorum had when it spoke last.
+    pub fn current(&self) -> bool {
+        self.sources
+            .iter()
+            .any(|source| source.live && source.current)
+    }
+
     /// Whether the entry can forward: it has a document that was the latest after its start, and
     /// knows an endpoint that takes flows.
     pub fn ready(&self) -> bool {
@@ -139,6 +153,7 @@
             .collect();
         if let Some(source) = self.sources.get_mut(source) {
             source.live = true;
+            source.current = push.current;
         }
         for record in push.records {
             self.merge(now, source, record);
