--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -57,6 +57,8 @@
     pub packets: Option<SocketAddrV4>,
     /// Where the routers ask whether the entry is ready; entries only.
     pub readiness: Option<SocketAddrV4>,
+    /// Address at which entries and other stores reach this one, if it is not its own.
+    pub reached: Option<Ipv4Addr>,
     /// What the process does.
     pub role: Role,
     /// Control addresses of some stores.
@@ -82,11 +84,16 @@
         })
     }
 
-    /// The store's own inner address.
-    pub const fn own(&self) -> SocketAddrV4 {
+    /// The inner address that the store listens at.
+    pub const fn inner(&self) -> SocketAddrV4 {
         SocketAddrV4::new(self.address, self.inner)
     }
 
+    /// The inner address at which others reach the store.
+    pub fn own(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(self.reached.unwrap_or(self.address), self.inner)
+    }
+
     /// Inner addresses of the seeds: each store takes inner connections at the same port.
     pub fn seeded(&self) -> Vec<SocketAddrV4> {
         let seeds = self.seeds.iter();
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -73,8 +73,9 @@
 pub async fn serve<B: Border>(settings: Settings, path: &Path) -> Result<(), Error> {
     let signals = Signals::new().map_err(Error::Runtime)?;
     let control = settings.control.ok_or(Error::Missing("control"))?;
-    let own = settings.own();
-    let inner = TcpListener::bind(own).await.map_err(Error::Listen)?;
+    let inner = TcpListener::bind(settings.inner())
+        .await
+        .map_err(Error::Listen)?;
     let listener = TcpListener::bind(control).await.map_err(Error::Listen)?;
     let (stock, folder) = open(settings)?;
     let stock = Rc::new(stock);
