Idle flows of endpoints that have left or are out of reach are reset before their callers use them

Ruled out: resetting flows with a request in work (that request would fail for certain).

The tests orphans_* have no counterpart before the change.

--- a/crates/edge/src/decisions.rs
+++ b/crates/edge/src/decisions.rs
@@ -30,6 +30,7 @@
 /// What a line is about.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Subject {
+    Orphaned,
     Placed,
     Refused(Code),
     Unsent,
@@ -94,6 +95,18 @@
         );
     }
 
+    /// Notes that an idle flow was given up because its endpoint has left or is out of reach.
+    pub fn orphaned(&self, packet: &Packet) {
+        self.metrics.orphans.inc();
+        if self.line(Subject::Orphaned) {
+            let (caller, route) = (
+                packet.flow.caller.to_string(),
+                packet.flow.route.to_string(),
+            );
+            log::info!(caller, route; "an idle flow was reset: its endpoint has left or is out of reach");
+        }
+    }
+
     /// Notes why a flow's packet was not forwarded.
     pub fn refused(&self, packet: &Packet, code: Code, version: u64) {
         self.metrics.refuse(code);
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -110,7 +110,9 @@
         settings,
     });
     log::info!(name = &*entry.settings.name; "an entry has started");
-    spawn(forward::<B>(entry.clone(), socket, packets.port())).detach();
+    let socket = Rc::new(socket);
+    let port = packets.port();
+    spawn(forward::<B>(entry.clone(), socket.clone(), port)).detach();
     spawn(process::serve(
         entry.stop.clone(),
         listener,
@@ -119,7 +121,7 @@
     .detach();
     expose(&entry).await?;
     follow::start::<B>(&entry);
-    spawn(tick(entry.clone())).detach();
+    spawn(tick::<B>(entry.clone(), socket, port)).detach();
     let apply = |settings: Settings| *entry.seeds.borrow_mut() = settings.seeded();
     until_stop(signals, path, apply).await?;
     entry.stop.begin();
@@ -142,10 +144,22 @@
     }
 }
 
-async fn tick(entry: Rc<Entry>) {
+async fn tick<B: Border>(entry: Rc<Entry>, socket: Rc<UdpSocket>, port: u16) {
     loop {
         compio::time::sleep(TICK).await;
-        entry.view.borrow_mut().tick(entry.clock.now());
+        let now = entry.clock.now();
+        entry.view.borrow_mut().tick(now);
+        let orphans = entry.view.borrow_mut().orphans(now);
+        for packet in orphans {
+            let mut out = Vec::new();
+            B::reset(&packet, &mut out);
+            entry.decisions.orphaned(&packet);
+            let to = SocketAddrV4::new(*packet.flow.caller.ip(), port);
+            let BufResult(sent, _) = socket.send_to(out, to).await;
+            if let Err(error) = sent {
+                entry.decisions.unsent(&error);
+            }
+        }
         entry.decisions.report(entry.clock.now());
         measure(&entry);
     }
@@ -187,7 +201,7 @@
 }
 
 /// Forwards packets until the process ends.
-async fn forward<B: Border>(entry: Rc<Entry>, socket: UdpSocket, port: u16) {
+async fn forward<B: Border>(entry: Rc<Entry>, socket: Rc<UdpSocket>, port: u16) {
     let mut buffer = Vec::with_capacity(DATAGRAM_BYTES);
     let mut out = Vec::with_capacity(DATAGRAM_BYTES);
     loop {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -62,6 +62,8 @@
     pub flows: Gauge,
     /// Whether this store leads: 1 or 0.
     pub leads: Gauge,
+    /// Idle flows that were reset because their endpoint has left or is out of reach.
+    pub orphans: Counter,
     /// Packets that came.
     pub packets: Counter,
     /// Flows that were placed.
@@ -86,6 +88,7 @@
         let calls = Histogram::new(BUCKETS);
         let (copies, packets) = (Counter::default(), Counter::default());
         let (placed, unsent) = (Counter::default(), Counter::default());
+        let orphans = Counter::default();
         let (flows, leads, quorum) = (Gauge::default(), Gauge::default(), Gauge::default());
         let (stores, version) = (Gauge::default(), Gauge::default());
         let endpoints = Family::default();
@@ -95,6 +98,7 @@
         registry.register("endpoints", "Endpoints by phase", endpoints.clone());
         registry.register("flows", "Flows remembered", flows.clone());
         registry.register("leads", "Whether this store leads", leads.clone());
+        registry.register("orphans", "Idle flows reset", orphans.clone());
         registry.register("packets", "Packets that came", packets.clone());
         registry.register("placed", "Flows placed", placed.clone());
         registry.register("quorum", "Whether a quorum was in contact", quorum.clone());
@@ -112,6 +116,7 @@
             endpoints,
             flows,
             leads,
+            orphans,
             packets,
             placed,
             quorum,
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -148,7 +148,7 @@
     };
     let timing = Timing::new()
         .with_snapshot(SNAPSHOT)
-        .with_voters(2 * settings.losses + 1);
+        .with_voters(2 * settings.losses.max(1) + 1);
     let (mut replica, folder) = Replica::open(&data, fresh, timing)?;
     if founder {
         let members = seeds.iter().map(|seed| member(*seed, founder_id(*seed)));
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -22,6 +22,7 @@
     Load,
     Phase,
     Pool,
+    Progress,
     Reference,
     Target, //
 };
@@ -230,6 +231,22 @@
         }
     }
 
+    /// Idle flows whose endpoint has left or is out of reach, as packets that are to be reset.
+    pub fn orphans(&mut self, now: Duration) -> Vec<Packet> {
+        let orphans = self.pool.orphans(now).into_iter();
+        orphans
+            .map(|(flow, acknowledged)| Packet {
+                flow,
+                kind: Kind::Later,
+                progress: Progress {
+                    acknowledged,
+                    ..Progress::default()
+                },
+                reference: None,
+            })
+            .collect()
+    }
+
     /// Loads of the endpoints that this entry's own flows use.
     pub fn loads(&self) -> Vec<Loaded> {
         let used = self
--- a/crates/placement/src/flow.rs
+++ b/crates/placement/src/flow.rs
@@ -32,6 +32,8 @@
 /// What an entry keeps of a flow whose packets it forwards. Losing it costs no packet.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Flow {
+    /// What the caller acknowledged last.
+    pub acknowledged: u32,
     /// Whether the caller has closed it.
     pub closed: bool,
     /// Who has it.
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -142,6 +142,7 @@
         self.keep(
             flow,
             Flow {
+                acknowledged: 0,
                 closed: false,
                 endpoint: key,
                 open: false,
@@ -215,6 +216,30 @@
         now < self.stalled
     }
 
+    /// Gives up idle flows whose endpoint has left or is out of reach, and returns them with what
+    /// their callers acknowledged last, so that these can be reset: a caller that knows sends its
+    /// next request on another flow. Flows with a request in work are left alone.
+    pub fn orphans(&mut self, now: Duration) -> Vec<(FlowKey, u32)> {
+        if self.stalled(now) {
+            return Vec::new();
+        }
+        let endpoints = &self.endpoints;
+        let lost = |flow: &Flow| {
+            let endpoint = endpoints.get(flow.endpoint);
+            endpoint.is_some_and(|endpoint| endpoint.phase == Phase::Gone || endpoint.mute)
+        };
+        let idle = |flow: &Flow| flow.open && !flow.closed && flow.request.is_none();
+        let flows = self
+            .flows
+            .iter()
+            .filter(|(_, flow)| idle(flow) && lost(flow));
+        let orphans: Vec<_> = flows.map(|(key, flow)| (*key, flow.acknowledged)).collect();
+        for (key, _) in &orphans {
+            self.drop_flow(key);
+        }
+        orphans
+    }
+
     /// Forgets flows that are over; to be called a few times a second.
     pub fn tick(&mut self, now: Duration) {
         let _noted = self.stalled(now);
@@ -375,6 +400,7 @@
         if held.is_none_or(|flow| flow.endpoint != endpoint) {
             self.drop_flow(&key);
             let flow = Flow {
+                acknowledged: 0,
                 closed: false,
                 endpoint,
                 open: true,
@@ -389,6 +415,7 @@
             return false;
         };
         flow.seen = now;
+        flow.acknowledged = progress.acknowledged;
         if !flow.open {
             flow.open = true;
             endpoint.answered(now);
--- a/crates/placement/tests/pool.rs
+++ b/crates/placement/tests/pool.rs
@@ -227,6 +227,46 @@
     }
 }
 
+/// Callers with idle flows to an endpoint that fell silent hear of it before their next request,
+/// which may be one that runs once at most.
+#[test]
+fn orphans_endpoint_out_of_reach() {
+    let mut world = World::new(2);
+    for (port, name) in [(1, "i-0"), (2, "i-0"), (3, "i-1"), (4, "i-0")] {
+        world.pass(ms(0), port, name, REQUEST).unwrap();
+        world.pass(ms(50), port, name, ANSWERED).unwrap();
+    }
+    let next = Progress {
+        acknowledged: 900,
+        sequence: 101,
+        ..REQUEST
+    };
+    for at in [1_000, 1_200] {
+        assert_eq!(world.late(ms(at), 4, "i-0", next, false), Ok(()));
+        world.pool.tick(ms(at));
+        assert!(world.pool.orphans(ms(at)).is_empty());
+    }
+    assert_eq!(world.late(ms(1_600), 4, "i-0", next, false), Ok(()));
+    let mut orphans = world.pool.orphans(ms(1_600));
+    orphans.sort_by_key(|(flow, _)| flow.caller);
+    // The request that runs once at most keeps waiting on its flow.
+    assert_eq!(orphans, [(flow(1), 900), (flow(2), 900)]);
+    assert!(world.pool.orphans(ms(1_700)).is_empty());
+}
+
+#[test]
+fn orphans_gone_endpoint() {
+    let mut world = World::new(2);
+    world.pass(ms(0), 1, "i-0", REQUEST).unwrap();
+    world.pass(ms(50), 1, "i-0", ANSWERED).unwrap();
+    let held = world.pool.iter().find(|held| &*held.name == "i-0").unwrap();
+    let draining = held.clone().with_phase(Phase::Draining);
+    world.pool.update(draining.clone());
+    assert!(world.pool.orphans(ms(100)).is_empty());
+    world.pool.update(draining.with_phase(Phase::Gone));
+    assert_eq!(world.pool.orphans(ms(100)), [(flow(1), 900)]);
+}
+
 #[test]
 fn open_copy_elsewhere() {
     let mut world = World::new(3);
