--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -6,6 +6,7 @@
 };
 
 use codes::Code;
+use process::CodeLabel;
 use prometheus_client::{
     encoding::{
         EncodeLabelSet,
@@ -23,14 +24,6 @@
 /// Bytes of the IPv4 and UDP headers of a datagram.
 const HEADER_BYTES: u64 = 28;
 
-/// The label of counters by result code.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-#[derive(EncodeLabelSet)]
-pub struct CodeLabel {
-    /// Number of the code.
-    pub code: u16,
-}
-
 /// The label of counters by service.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 #[derive(EncodeLabelSet)]
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -14,7 +14,10 @@
         Incoming, //
     },
 };
-use process::Handler;
+use process::{
+    CodeLabel,
+    Handler, //
+};
 use prometheus_client::{
     encoding::{
         EncodeLabelSet,
@@ -33,14 +36,6 @@
 /// that a caller waits.
 const BUCKETS: [f64; 9] = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0];
 
-/// The label of counters by result code.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-#[derive(EncodeLabelSet)]
-pub struct CodeLabel {
-    /// Number of the code.
-    pub code: u16,
-}
-
 /// The label of gauges by phase of an endpoint.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 #[derive(EncodeLabelSet)]
@@ -130,10 +125,7 @@
 
     /// Counts a refusal.
     pub fn refuse(&self, code: Code) {
-        let label = CodeLabel {
-            code: code.number(),
-        };
-        self.refusals.get_or_create(&label).inc();
+        self.refusals.get_or_create(&CodeLabel::from(code)).inc();
     }
 
     /// Notes how long a call took.
--- a/crates/placement/src/flow.rs
+++ b/crates/placement/src/flow.rs
@@ -5,7 +5,10 @@
     time::Duration, //
 };
 
-use crate::endpoint::EndpointKey;
+use crate::endpoint::{
+    Endpoint,
+    EndpointKey, //
+};
 
 /// The two ends of a flow, as its caller sees them.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -46,6 +49,69 @@
     pub seen: Duration,
 }
 
+impl Flow {
+    /// Creates a flow that its endpoint has not answered yet.
+    pub fn new(now: Duration, endpoint: EndpointKey) -> Self {
+        Self {
+            acknowledged: 0,
+            closed: false,
+            endpoint,
+            open: false,
+            request: None,
+            seen: now,
+        }
+    }
+
+    /// Notes that the endpoint has answered the opening packet.
+    pub const fn with_open(mut self) -> Self {
+        self.open = true;
+        self
+    }
+
+    /// Notes what a packet tells of the flow and its endpoint; returns whether the endpoint is out
+    /// of reach.
+    pub fn note(&mut self, now: Duration, endpoint: &mut Endpoint, progress: Progress) -> bool {
+        self.seen = now;
+        self.acknowledged = progress.acknowledged;
+        if !self.open {
+            self.open = true;
+            endpoint.answered(now);
+        }
+        self.end_request(now, endpoint, progress);
+        if progress.closing && !self.closed {
+            self.closed = true;
+            endpoint.own.flows = endpoint.own.flows.saturating_sub(1);
+        }
+        match &mut self.request {
+            _ if progress.length == 0 || self.closed => false,
+            Some(request) => request.take(now, progress) && endpoint.unanswered(now, *request),
+            None => {
+                self.request = Some(Request::new(now, progress));
+                endpoint.own.busy += 1;
+                false
+            }
+        }
+    }
+
+    /// Ends the request once its answer begins to arrive, or its caller leaves.
+    fn end_request(&mut self, now: Duration, endpoint: &mut Endpoint, progress: Progress) {
+        let Some(request) = self.request else {
+            return;
+        };
+        let answered = progress.acknowledged != request.acknowledged;
+        if answered {
+            endpoint.answered(now);
+        }
+        if answered && request.repeats == 0 {
+            endpoint.worked(now.saturating_sub(request.last));
+        }
+        if answered || progress.closing {
+            self.request = None;
+            endpoint.own.busy = endpoint.own.busy.saturating_sub(1);
+        }
+    }
+}
+
 /// A request that the endpoint has not begun to answer.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Request {
@@ -65,6 +131,17 @@
 const RESEND: Duration = Duration::from_millis(150);
 
 impl Request {
+    /// Creates a request from its first packet.
+    pub const fn new(now: Duration, progress: Progress) -> Self {
+        Self {
+            acknowledged: progress.acknowledged,
+            last: now,
+            repeats: 0,
+            sequence: progress.sequence,
+            since: now,
+        }
+    }
+
     /// Notes a packet of the request; returns whether the caller sent it again.
     pub fn take(&mut self, now: Duration, progress: Progress) -> bool {
         let again = progress.sequence == self.sequence;
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -21,8 +21,7 @@
     flow::{
         Flow,
         FlowKey,
-        Progress,
-        Request, //
+        Progress, //
     },
     load::Load,
     reference::Reference, //
@@ -139,17 +138,7 @@
             .choose(now, targets, but, random)
             .ok_or(Code::FlowNoEndpoint)?;
         self.drop_flow(&flow);
-        self.keep(
-            flow,
-            Flow {
-                acknowledged: 0,
-                closed: false,
-                endpoint: key,
-                open: false,
-                request: None,
-                seen: now,
-            },
-        );
+        self.keep(flow, Flow::new(now, key));
         Ok(key)
     }
 
@@ -399,58 +388,11 @@
         let held = self.flows.get(&key);
         if held.is_none_or(|flow| flow.endpoint != endpoint) {
             self.drop_flow(&key);
-            let flow = Flow {
-                acknowledged: 0,
-                closed: false,
-                endpoint,
-                open: true,
-                request: None,
-                seen: now,
-            };
-            self.keep(key, flow);
+            self.keep(key, Flow::new(now, endpoint).with_open());
         }
-        let (Some(flow), Some(endpoint)) =
-            (self.flows.get_mut(&key), self.endpoints.get_mut(endpoint))
-        else {
-            return false;
-        };
-        flow.seen = now;
-        flow.acknowledged = progress.acknowledged;
-        if !flow.open {
-            flow.open = true;
-            endpoint.answered(now);
-        }
-        if progress.closing && !flow.closed {
-            flow.closed = true;
-            endpoint.own.flows = endpoint.own.flows.saturating_sub(1);
-        }
-        let moved = flow
-            .request
-            .is_some_and(|request| progress.acknowledged != request.acknowledged);
-        if let (true, Some(request)) = (moved, flow.request) {
-            endpoint.answered(now);
-            if request.repeats == 0 {
-                endpoint.worked(now.saturating_sub(request.last));
-            }
-        }
-        if moved || (progress.closing && flow.request.is_some()) {
-            flow.request = None;
-            endpoint.own.busy = endpoint.own.busy.saturating_sub(1);
-        }
-        match &mut flow.request {
-            _ if progress.length == 0 || flow.closed => false,
-            Some(request) => request.take(now, progress) && endpoint.unanswered(now, *request),
-            None => {
-                flow.request = Some(Request {
-                    acknowledged: progress.acknowledged,
-                    last: now,
-                    repeats: 0,
-                    sequence: progress.sequence,
-                    since: now,
-                });
-                endpoint.own.busy += 1;
-                false
-            }
+        match (self.flows.get_mut(&key), self.endpoints.get_mut(endpoint)) {
+            (Some(flow), Some(endpoint)) => flow.note(now, endpoint, progress),
+            _ => false,
         }
     }
 }
--- /dev/null
+++ b/crates/process/src/code_label.rs
@@ -0,0 +1,20 @@
+//! The label of counters by result code.
+
+use codes::Code;
+use prometheus_client::encoding::EncodeLabelSet;
+
+/// The label of counters by result code.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
+pub struct CodeLabel {
+    /// Number of the code.
+    pub code: u16,
+}
+
+impl From<Code> for CodeLabel {
+    fn from(code: Code) -> Self {
+        Self {
+            code: code.number(),
+        }
+    }
+}
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -1,5 +1,6 @@
-//! What every program shares: the signals, the planned stop and the HTTP server.
+//! What every program shares: the signals, the planned stop, the HTTP server and labels of metrics.
 
+mod code_label;
 mod framing;
 mod guarded;
 mod head;
@@ -8,6 +9,7 @@
 mod stop;
 
 pub use crate::{
+    code_label::CodeLabel,
     server::{
         Handler,
         Peer,
--- a/examples/standin/src/forwarder.rs
+++ b/examples/standin/src/forwarder.rs
@@ -27,6 +27,9 @@
 /// Pause between two looks at the state of the forwarder.
 const PAUSE: Duration = Duration::from_millis(10);
 
+/// How long bytes are held back while the passage is delayed.
+const DELAY: Duration = Duration::from_millis(60);
+
 /// What the forwarder does with connections.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[repr(u8)]
@@ -37,6 +40,17 @@
     Cut,
     /// Keeps connections open and carries nothing.
     Frozen,
+    /// Carries bytes both ways after a while.
+    Delayed,
+    /// Carries only what the callers send.
+    OneWay,
+}
+
+/// A direction, as the caller sees it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Way {
+    Back,
+    There,
 }
 
 /// Forwards connections to one address.
@@ -54,7 +68,16 @@
     ///
     /// What the system reported.
     pub fn start(target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        Self::start_at((Ipv4Addr::LOCALHOST, 0).into(), target)
+    }
+
+    /// Begins to forward from an address to `target`.
+    ///
+    /// # Errors
+    ///
+    /// What the system reported.
+    pub fn start_at(address: SocketAddr, target: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
         let passage = Arc::new(AtomicU8::new(Passage::Open as u8));
         let state = passage.clone();
@@ -74,24 +97,24 @@
 }
 
 fn connection(near: &TcpStream, target: SocketAddr, state: &Arc<AtomicU8>) {
-    if !open(state) {
+    if !open(state, Way::There) {
         return;
     }
     let Ok(far) = TcpStream::connect(target) else {
         return;
     };
     thread::scope(|scope| {
-        scope.spawn(|| carry(near, &far, state));
-        carry(&far, near, state);
+        scope.spawn(|| carry(near, &far, state, Way::There));
+        carry(&far, near, state, Way::Back);
     });
 }
 
 /// Carries one direction until either end closes.
-fn carry(mut from: &TcpStream, mut to: &TcpStream, state: &Arc<AtomicU8>) {
+fn carry(mut from: &TcpStream, mut to: &TcpStream, state: &Arc<AtomicU8>, way: Way) {
     let mut buffer = vec![0; 64 * 1024];
     // A failure to set it shows as a connection that is not cut.
     let _set = from.set_read_timeout(Some(PAUSE));
-    while open(state) {
+    while open(state, way) {
         let length = match from.read(&mut buffer) {
             Ok(0) => break,
             Ok(length) => length,
@@ -99,7 +122,10 @@
             Err(_) => break,
         };
         let bytes = buffer.get(..length).unwrap_or_default();
-        if !open(state) || to.write_all(bytes).is_err() {
+        if state.load(Ordering::SeqCst) == Passage::Delayed as u8 {
+            thread::sleep(DELAY);
+        }
+        if !open(state, way) || to.write_all(bytes).is_err() {
             break;
         }
     }
@@ -109,12 +135,13 @@
     }
 }
 
-/// Waits while frozen; false if cut.
-fn open(state: &Arc<AtomicU8>) -> bool {
+/// Waits while nothing is carried that way; false if cut.
+fn open(state: &Arc<AtomicU8>, way: Way) -> bool {
     loop {
         match state.load(Ordering::SeqCst) {
             state if state == Passage::Frozen as u8 => thread::sleep(PAUSE),
-            state => return state == Passage::Open as u8,
+            state if state == Passage::OneWay as u8 && way == Way::Back => thread::sleep(PAUSE),
+            state => return state != Passage::Cut as u8,
         }
     }
 }
