An endpoint is out of reach for a second after the last sign of that; loads as changes; endpoints in parts

Ruled out: a departure, load of the entry.

Change: the note lasts for a second and counts only for flows that showed nothing since.

Conclusion: a sign of absence needs an age as much as a sign of presence.

--- a/crates/edge/src/error.rs
+++ b/crates/edge/src/error.rs
@@ -32,6 +32,9 @@
     /// The runtime could not be started.
     #[error("cannot start: {0}")]
     Runtime(io::Error),
+    /// A setting is outside its range.
+    #[error("[{code}] setting `{0}` is no time", code = Code::ValueInvalid.number())]
+    Value(&'static str),
     /// The data folder could not be opened.
     #[error("[{code}] {0}", code = .0.code().number())]
     Store(#[from] store::Error),
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -33,7 +33,10 @@
         Push,
         Sight, //
     },
-    view::SOURCES, //
+    view::{
+        REPORTED,
+        SOURCES, //
+    },
 };
 
 /// Pause while no store is known.
@@ -145,7 +148,7 @@
 
 /// Reports loads to the first store that is followed, and shows the others that the entry runs.
 async fn report(entry: &Entry, slot: usize, mut sender: Sender<Sight>) -> io::Result<Infallible> {
-    let reports = slot == 0;
+    let reports = slot == REPORTED;
     loop {
         let loads = match reports {
             true => entry.view.borrow().loads(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -26,6 +26,7 @@
 mod run;
 mod serve;
 mod settings;
+mod shares;
 mod stock;
 mod store;
 mod view;
@@ -53,5 +54,6 @@
         Role,
         Settings, //
     },
+    shares::Shares,
     view::View,
 };
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -2,7 +2,10 @@
 
 use std::{
     io,
-    net::SocketAddr,
+    net::{
+        SocketAddr,
+        SocketAddrV4, //
+    },
     pin::pin,
     rc::Rc,
     time::Duration, //
@@ -39,6 +42,7 @@
         Receipt,
         Sight, //
     },
+    shares::Shares,
     stock::{
         Reported,
         Stock, //
@@ -51,6 +55,9 @@
 /// Time for which changes are gathered before entries are told of them.
 const GATHER: Duration = Duration::from_millis(20);
 
+/// Most endpoints in one frame: some tens of kilobytes.
+const PART: usize = 200;
+
 /// Pause after a failure to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -106,6 +113,7 @@
 ) -> io::Result<()> {
     let mut told = 0;
     let mut stores = Vec::new();
+    let mut shares = Shares::default();
     let mut beat = Duration::ZERO;
     loop {
         let listener = stock.changed.listen();
@@ -114,23 +122,24 @@
         let document = stock.document.borrow().clone();
         let document = document.filter(|document| document.version > version);
         let records = stock.registry.borrow().changed(now, told);
-        let news = document.is_some() || !records.is_empty();
-        if news || now >= beat {
+        if document.is_some() || !records.is_empty() || now >= beat {
             told = stock.registry.borrow().count();
             version = document
                 .as_ref()
                 .map_or(version, |document| document.version);
-            let frame = Push {
+            let last = Push {
                 current: stock.replica.borrow().raft().current(now),
                 document: document.map(|document| (*document).clone()),
-                loads: stock.elsewhere(name),
+                loads: shares.update(stock.elsewhere(name)),
                 records,
                 stores: match known == stores {
                     true => Vec::new(),
                     false => known.clone(),
                 },
             };
-            sender.send(&frame).await?;
+            for frame in parts(last) {
+                sender.send(&frame).await?;
+            }
             stores = known;
             beat = now + BEAT;
         }
@@ -141,6 +150,22 @@
     }
 }
 
+/// Parts a push into frames that a slow link carries before the connection counts as silent. Only
+/// the last one may say that the entry knows all that it needs.
+fn parts(mut last: Push) -> Vec<Push> {
+    let mut frames = Vec::new();
+    while last.records.len() > PART {
+        let rest = last.records.split_off(PART);
+        let records = std::mem::replace(&mut last.records, rest);
+        frames.push(Push {
+            records,
+            ..Push::default()
+        });
+    }
+    frames.push(last);
+    frames
+}
+
 /// Takes what an entry sees.
 async fn look(stock: &Stock, name: &str, mut receiver: Receiver<Sight>) -> io::Result<()> {
     loop {
@@ -178,7 +203,7 @@
     }
 }
 
-fn take(stock: &Rc<Stock>, member: &Member, address: std::net::SocketAddrV4, gossip: Gossip) {
+fn take(stock: &Rc<Stock>, member: &Member, address: SocketAddrV4, gossip: Gossip) {
     let now = stock.clock.now();
     links::learn(stock, gossip.stores);
     if let Some(peer) = stock.peers.borrow_mut().get_mut(address) {
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -28,6 +28,9 @@
     Store,
 }
 
+/// Largest number that stands for a time: more than a day of milliseconds.
+const LONGEST: f64 = 1e8;
+
 /// The settings of an entry or a store.
 #[derive(Clone, Debug)]
 #[derive(Deserialize)]
@@ -44,7 +47,7 @@
     /// Whether the whole deployment starts for the first time.
     pub founding: bool,
     /// Time between two announcements of an endpoint, in milliseconds.
-    pub heartbeat: u64,
+    heartbeat: f64,
     /// Port at which stores take connections of entries and other stores.
     pub inner: u16,
     /// Stores whose disks may be lost at once.
@@ -63,8 +66,8 @@
     pub role: Role,
     /// Control addresses of some stores.
     pub seeds: Box<[SocketAddrV4]>,
-    /// Time after which a stopping process is killed, in milliseconds.
-    pub stop: u64,
+    /// Time after which a stopping process is killed, in seconds.
+    stop: f64,
 }
 
 impl Settings {
@@ -72,16 +75,22 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Read`] or [`Error::Syntax`].
+    /// [`Error::Read`], [`Error::Syntax`], or [`Error::Value`] for a time that is none.
     pub fn read(path: &Path) -> Result<Self, Error> {
         let text = fs::read_to_string(path).map_err(|cause| Error::Read {
             cause,
             path: path.into(),
         })?;
-        toml::from_str(&text).map_err(|cause| Error::Syntax {
+        let settings: Self = toml::from_str(&text).map_err(|cause| Error::Syntax {
             cause: Box::new(cause),
             path: path.into(),
-        })
+        })?;
+        for (name, time) in [("heartbeat", settings.heartbeat), ("stop", settings.stop)] {
+            if !(0.0..=LONGEST).contains(&time) {
+                return Err(Error::Value(name));
+            }
+        }
+        Ok(settings)
     }
 
     /// The inner address that the store listens at.
@@ -103,12 +112,12 @@
     }
 
     /// Time between two announcements of an endpoint.
-    pub const fn heartbeat(&self) -> Duration {
-        Duration::from_millis(self.heartbeat)
+    pub fn heartbeat(&self) -> Duration {
+        Duration::from_secs_f64(self.heartbeat / 1000.0)
     }
 
     /// Time after which a stopping process is killed.
-    pub const fn stop(&self) -> Duration {
-        Duration::from_millis(self.stop)
+    pub fn stop(&self) -> Duration {
+        Duration::from_secs_f64(self.stop)
     }
 }
--- a/crates/edge/src/stock.rs
+++ b/crates/edge/src/stock.rs
@@ -92,10 +92,14 @@
         sum(loads.values().flat_map(|report| &report.loads))
     }
 
-    /// What all entries but one see, as far as it was told lately.
+    /// What all entries but one see, as far as it was told lately; nothing for an entry that
+    /// reports to another store and gets it there.
     pub fn elsewhere(&self, name: &str) -> Vec<Loaded> {
         let since = self.clock.now().saturating_sub(LOADS);
         let loads = self.loads.borrow();
+        if !loads.contains_key(name) {
+            return Vec::new();
+        }
         let here = loads
             .iter()
             .filter(|(other, report)| &***other != name && report.at >= since)
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -43,6 +43,9 @@
 /// Stores that an entry follows at once: one may be cut off from the others without knowing.
 pub const SOURCES: usize = 2;
 
+/// The followed store that gets this entry's loads and tells those of the others.
+pub const REPORTED: usize = 0;
+
 /// What one followed store says.
 #[derive(Clone, Debug, Default)]
 struct Source {
@@ -170,11 +173,14 @@
     }
 
     /// Notes that a store is followed no longer: its word on silence counts no more.
-    pub fn lose(&mut self, now: Duration, source: usize, tag: impl Fn(&str) -> Option<u64>) {
-        let Some(source) = self.sources.get_mut(source) else {
+    pub fn lose(&mut self, now: Duration, place: usize, tag: impl Fn(&str) -> Option<u64>) {
+        let Some(source) = self.sources.get_mut(place) else {
             return;
         };
         source.live = false;
+        if place == REPORTED {
+            self.pool.forget_loads();
+        }
         let names = std::mem::take(&mut source.silent);
         for name in names {
             self.refresh(now, &name, &tag);
--- a/crates/edge/tests/view.rs
+++ b/crates/edge/tests/view.rs
@@ -11,6 +11,7 @@
 use mimosausher_edge::{
     Document,
     Kind,
+    Loaded,
     Packet,
     Push,
     Route,
@@ -20,7 +21,8 @@
 use placement::{
     FlowKey,
     Phase,
-    Progress, //
+    Progress,
+    Reference, //
 };
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
@@ -178,6 +180,28 @@
     assert_eq!(world.phase("i-1"), Phase::Ready);
 }
 
+/// The store that told of loads is lost: what it said last must not stay for good.
+#[test]
+fn lose_store_that_told_of_loads() {
+    let mut world = World::new();
+    let mut loaded = push(Some(document(7, &["s"])), vec![record("i-1", 1, false)]);
+    loaded.loads = vec![Loaded {
+        busy: 9,
+        flows: 9,
+        reference: Reference::to("i-1").number(),
+    }];
+    world.take(0, loaded);
+    let busy = |world: &World| {
+        let mut endpoints = world.view.pool().iter();
+        endpoints.next().unwrap().load().busy
+    };
+    assert_eq!(busy(&world), 9);
+    world.view.lose(at(20), 1, |_| Some(1));
+    assert_eq!(busy(&world), 9);
+    world.view.lose(at(20), 0, |_| Some(1));
+    assert_eq!(busy(&world), 0);
+}
+
 #[test]
 fn take_late_record() {
     let mut world = World::new();
--- a/crates/placement/src/endpoint.rs
+++ b/crates/placement/src/endpoint.rs
@@ -26,6 +26,10 @@
 /// Part of the mean work time that the latest request makes up: about ten requests are remembered.
 const WORK_PART: f64 = 0.1;
 
+/// Time for which an endpoint counts as out of reach after the last sign of that: what healed since
+/// must not be held against it.
+const MUTE: Duration = Duration::from_secs(1);
+
 /// First time for which an endpoint gets no new flow after one that it did not answer; doubles with
 /// each further one. As long as a caller waits before it sends its second copy.
 const AVOID_FIRST: Duration = Duration::from_millis(200);
@@ -75,9 +79,9 @@
     pub(crate) own: Load,
     /// Until when it gets no new flow, and how many it has not answered in a row.
     pub(crate) avoid: (Duration, u32),
-    /// Whether a request went unanswered, although it was sent three times, and nothing else came
+    /// When a request last went unanswered, although it was sent three times and nothing else came
     /// from the endpoint meanwhile.
-    pub(crate) mute: bool,
+    pub(crate) mute: Option<Duration>,
     /// Time from a request's last packet to the first sign of its answer, in seconds, as a moving
     /// mean; none before the first one.
     pub(crate) work: Option<f64>,
@@ -94,7 +98,7 @@
             elsewhere: Load::default(),
             incarnation,
             local: true,
-            mute: false,
+            mute: None,
             name: name.into(),
             own: Load::default(),
             phase: Phase::Ready,
@@ -151,7 +155,7 @@
     /// Notes that it answered.
     pub(crate) fn answered(&mut self, now: Duration) {
         self.avoid = (Duration::ZERO, 0);
-        self.mute = false;
+        self.mute = None;
         self.sign = Some(now);
     }
 
@@ -169,8 +173,15 @@
             return false;
         }
         self.missed(now);
-        self.mute |= request.repeats >= REPEATS;
-        self.mute
+        if request.repeats >= REPEATS || self.muted(now).is_some() {
+            self.mute = Some(now);
+        }
+        self.mute == Some(now)
+    }
+
+    /// When the endpoint last was out of reach, if that still counts.
+    pub(crate) fn muted(&self, now: Duration) -> Option<Duration> {
+        self.mute.filter(|at| now.saturating_sub(*at) <= MUTE)
     }
 
     /// Notes that it did not answer a new flow.
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -205,6 +205,13 @@
         now < self.stalled
     }
 
+    /// Forgets what other entries told of loads.
+    pub fn forget_loads(&mut self) {
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.elsewhere = Load::default();
+        }
+    }
+
     /// Gives up idle flows whose endpoint has left or is out of reach, and returns them with what
     /// their callers acknowledged last, so that these can be reset: a caller that knows sends its
     /// next request on another flow. Flows with a request in work are left alone.
@@ -215,7 +222,10 @@
         let endpoints = &self.endpoints;
         let lost = |flow: &Flow| {
             let endpoint = endpoints.get(flow.endpoint);
-            endpoint.is_some_and(|endpoint| endpoint.phase == Phase::Gone || endpoint.mute)
+            endpoint.is_some_and(|endpoint| {
+                let muted = endpoint.muted(now).is_some_and(|at| flow.seen < at);
+                endpoint.phase == Phase::Gone || muted
+            })
         };
         let idle = |flow: &Flow| flow.open && !flow.closed && flow.request.is_none();
         let flows = self
@@ -327,7 +337,7 @@
         };
         if reborn {
             held.avoid = (Duration::ZERO, 0);
-            held.mute = false;
+            held.mute = None;
             held.sign = None;
             held.work = None;
             held.own = Load::default();
--- a/crates/placement/tests/pool.rs
+++ b/crates/placement/tests/pool.rs
@@ -254,6 +254,41 @@
     assert!(world.pool.orphans(ms(1_700)).is_empty());
 }
 
+/// A cut has healed, but none of this entry's callers has used the endpoint since. What a flow that
+/// moved here shows later, one lost packet among it, is no word on the cut.
+#[test]
+fn orphans_long_after_a_cut() {
+    let mut world = World::new(2);
+    for at in [0, 200, 600] {
+        let _reset = world.late(ms(at), 1, "i-0", REQUEST, true);
+        world.pool.tick(ms(at));
+    }
+    for at in (1_000..6_000).step_by(250) {
+        world.pool.tick(ms(at));
+    }
+    let acknowledgement = Progress {
+        length: 0,
+        ..ANSWERED
+    };
+    assert_eq!(world.pass(ms(6_000), 2, "i-0", acknowledgement), Ok(()));
+    assert!(world.pool.orphans(ms(6_250)).is_empty());
+    for at in [6_300, 6_500] {
+        assert_eq!(world.pass(ms(at), 3, "i-0", REQUEST), Ok(()));
+    }
+}
+
+/// A flow that moves to this entry during the cut has shown nothing yet.
+#[test]
+fn orphans_flow_seen_since() {
+    let mut world = World::new(2);
+    for at in [0, 200, 600] {
+        let _reset = world.late(ms(at), 1, "i-0", REQUEST, true);
+        world.pool.tick(ms(at));
+    }
+    assert_eq!(world.pass(ms(700), 2, "i-0", ANSWERED), Ok(()));
+    assert!(world.pool.orphans(ms(800)).is_empty());
+}
+
 #[test]
 fn orphans_gone_endpoint() {
     let mut world = World::new(2);
