Names of the field: reconcile, load report, load delta, unreachable; metrics that cannot be served keep no process from its work

Cause: names such as tend, sight, stock and mute say little to a newcomer; a taken metrics port ended the process.

Change: renamed; two copies of the metrics' start became one. No behaviour changes besides.

--- a/crates/edge/src/backoff.rs
+++ b/crates/edge/src/backoff.rs
@@ -24,7 +24,7 @@
 
 impl Backoff {
     /// Time for which a connection is waited for.
-    pub fn patience(self) -> Duration {
+    pub fn connect_timeout(self) -> Duration {
         double(CONNECT_FIRST, self.failures).min(CONNECT_LAST)
     }
 
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -39,7 +39,7 @@
         Call,
         Reply, //
     },
-    stock::Stock,
+    state::StoreState,
 };
 
 /// Largest body of a call, in bytes: a document of several thousand routes.
@@ -55,22 +55,22 @@
 #[derive(Debug)]
 pub struct Control<B> {
     border: PhantomData<B>,
-    stock: Rc<Stock>,
+    state: Rc<StoreState>,
 }
 
 impl<B> Control<B> {
     /// Creates the face of a store.
-    pub const fn new(stock: Rc<Stock>) -> Self {
+    pub const fn new(state: Rc<StoreState>) -> Self {
         Self {
             border: PhantomData,
-            stock,
+            state,
         }
     }
 }
 
 impl<B> Clone for Control<B> {
     fn clone(&self) -> Self {
-        Self::new(self.stock.clone())
+        Self::new(self.state.clone())
     }
 }
 
@@ -81,16 +81,16 @@
         &self,
         request: Request<Incoming>,
     ) -> impl Future<Output = Response<Self::Body>> + 'static {
-        let stock = self.stock.clone();
+        let state = self.state.clone();
         async move {
             let (parts, body) = request.into_parts();
-            let start = stock.clock.now();
-            let result = answer::<B>(&stock, &parts, body).await;
-            stock
+            let start = state.clock.now();
+            let result = answer::<B>(&state, &parts, body).await;
+            state
                 .metrics
-                .called(stock.clock.now().saturating_sub(start));
+                .called(state.clock.now().saturating_sub(start));
             if let Err((code, advice)) = &result {
-                stock.metrics.refuse(*code);
+                state.metrics.refuse(*code);
                 log::info!(code = code.number(), path = parts.uri.path(); "{advice}");
             }
             B::answer(&parts, result)
@@ -98,28 +98,32 @@
     }
 }
 
-async fn answer<B: Border>(stock: &Stock, parts: &Parts, body: Incoming) -> Result<Reply, Refused> {
+async fn answer<B: Border>(
+    state: &StoreState,
+    parts: &Parts,
+    body: Incoming,
+) -> Result<Reply, Refused> {
     let body = Limited::new(body, BODY_BYTES).collect().await;
     let body = body.map_err(|error| (Code::CallUnknown, error.to_string().into()))?;
     let body = body.to_bytes();
     match B::call(parts, &body)? {
-        Call::Announce(announcement) => announce::<B>(stock, announcement).await,
-        Call::Depart(name, incarnation) => depart(stock, &name, incarnation).await,
-        Call::Publish => publish::<B>(stock, body).await,
-        Call::Read => read(stock).await,
+        Call::Announce(announcement) => announce::<B>(state, announcement).await,
+        Call::Depart(name, incarnation) => depart(state, &name, incarnation).await,
+        Call::Publish => publish::<B>(state, body).await,
+        Call::Read => read(state).await,
     }
 }
 
-async fn announce<B: Border>(stock: &Stock, own: Announcement) -> Result<Reply, Refused> {
+async fn announce<B: Border>(state: &StoreState, own: Announcement) -> Result<Reply, Refused> {
     if B::tag(&own.name).is_none() {
         let advice = format!("`{}` is no endpoint's name", own.name);
         return Err((Code::AnnouncementMalformed, advice.into()));
     }
-    let now = stock.clock.now();
-    let (name, state) = (own.name.clone(), own.state);
-    let before = stock.registry.borrow().count();
-    stock.registry.borrow_mut().announce(now, own);
-    let changed = stock.registry.borrow().changed(now, before);
+    let now = state.clock.now();
+    let (name, said) = (own.name.clone(), own.state);
+    let before = state.registry.borrow().count();
+    state.registry.borrow_mut().announce(now, own);
+    let changed = state.registry.borrow().changed(now, before);
     if let Some(record) = changed
         .iter()
         .find(|record| record.announcement.name == name)
@@ -127,46 +131,50 @@
         let own = &record.announcement;
         log::info!(
             endpoint = &*name, service = &*own.service, address = own.address.to_string(),
-            incarnation = own.incarnation, sequence = own.sequence, state = format!("{state:?}"),
+            incarnation = own.incarnation, sequence = own.sequence, state = format!("{said:?}"),
             departed = record.departed;
             "an endpoint has changed"
         );
     }
     if !changed.is_empty() {
-        stock.announce();
+        state.announce();
     }
-    match state {
-        State::Draining => copied(stock).await,
+    match said {
+        State::Draining => copied(state).await,
         State::Ready => Ok(Reply::Done),
     }
 }
 
-async fn depart(stock: &Stock, name: &str, incarnation: Option<u64>) -> Result<Reply, Refused> {
-    let now = stock.clock.now();
-    let known = stock.registry.borrow().get(name).is_some();
+async fn depart(
+    state: &StoreState,
+    name: &str,
+    incarnation: Option<u64>,
+) -> Result<Reply, Refused> {
+    let now = state.clock.now();
+    let known = state.registry.borrow().get(name).is_some();
     if !known {
         return Err((
             Code::AnnouncementUnsafe,
             "this store does not know it yet".into(),
         ));
     }
-    let change = stock.registry.borrow_mut().depart(now, name, incarnation);
+    let change = state.registry.borrow_mut().depart(now, name, incarnation);
     log::info!(endpoint = name, incarnation, change; "an endpoint has left");
-    stock.announce();
-    copied(stock).await
+    state.announce();
+    copied(state).await
 }
 
 /// Waits until enough other stores have what this one has: the loss of as many as may be lost, this
 /// one among them, loses nothing.
-async fn copied(stock: &Stock) -> Result<Reply, Refused> {
-    let change = stock.registry.borrow().count();
-    let until = stock.clock.now() + ANSWER;
+async fn copied(state: &StoreState) -> Result<Reply, Refused> {
+    let change = state.registry.borrow().count();
+    let until = state.clock.now() + ANSWER;
     loop {
-        let listener = stock.copied.listen();
-        if stock.peers.borrow().copies(change) >= stock.settings.losses {
+        let listener = state.copied.listen();
+        if state.peers.borrow().copies(change) >= state.settings.losses {
             return Ok(Reply::Done);
         }
-        let left = until.saturating_sub(stock.clock.now());
+        let left = until.saturating_sub(state.clock.now());
         if left.is_zero() || compio::time::timeout(left, listener).await.is_err() {
             let advice = "no other store took a copy in time";
             return Err((Code::AnnouncementUnsafe, advice.into()));
@@ -174,17 +182,17 @@
     }
 }
 
-async fn publish<B: Border>(stock: &Stock, body: Bytes) -> Result<Reply, Refused> {
+async fn publish<B: Border>(state: &StoreState, body: Bytes) -> Result<Reply, Refused> {
     let document = B::document(&body)?;
     let publication = Publication {
         bytes: body.as_ref().into(),
         version: document.version,
     };
     let version = document.version;
-    let known = stock.replica.borrow().ledger().compare(&publication);
+    let known = state.replica.borrow().ledger().compare(&publication);
     let published = match known {
         Some(known) => known,
-        None => match ask(stock, |token| Event::Publish(publication, token)).await? {
+        None => match ask(state, |token| Event::Publish(publication, token)).await? {
             Asked::Elsewhere(reply) => return Ok(reply),
             Asked::Here(Answer::Published(published)) => published,
             Asked::Here(_) => return Err(lost()),
@@ -200,11 +208,11 @@
     }
 }
 
-async fn read(stock: &Stock) -> Result<Reply, Refused> {
-    match ask(stock, Event::Read).await? {
+async fn read(state: &StoreState) -> Result<Reply, Refused> {
+    match ask(state, Event::Read).await? {
         Asked::Elsewhere(reply) => Ok(reply),
         Asked::Here(Answer::Current) => {
-            let replica = stock.replica.borrow();
+            let replica = state.replica.borrow();
             match replica.ledger().published() {
                 Some(held) => Ok(Reply::Document(Bytes::copy_from_slice(&held.bytes))),
                 None => Err((Code::NoLeader, "nothing was published yet".into())),
@@ -221,13 +229,13 @@
 }
 
 /// Asks the group, if this store leads it.
-async fn ask(stock: &Stock, event: impl FnOnce(Token) -> Event) -> Result<Asked, Refused> {
-    if !stock.replica.borrow().raft().leads() {
+async fn ask(state: &StoreState, event: impl FnOnce(Token) -> Event) -> Result<Asked, Refused> {
+    if !state.replica.borrow().raft().leads() {
         let advice = "no leader is known";
-        let leader = stock.leader().ok_or((Code::NoLeader, advice.into()))?;
+        let leader = state.leader().ok_or((Code::NoLeader, advice.into()))?;
         return Ok(Asked::Elsewhere(Reply::Elsewhere(leader)));
     }
-    let receiver = stock.replica.borrow_mut().submit(event);
+    let receiver = state.replica.borrow_mut().submit(event);
     match compio::time::timeout(ANSWER, receiver).await {
         Ok(Ok(Answer::Refused(code, advice))) => Err((code, advice)),
         Ok(Ok(answer)) => Ok(Asked::Here(answer)),
--- a/crates/edge/src/memory.rs
+++ b/crates/edge/src/endpoint_file.rs
@@ -13,7 +13,7 @@
 };
 use compio::runtime::ResumeUnwind as _;
 
-use crate::stock::Stock;
+use crate::state::StoreState;
 
 /// Name of the file in the data folder.
 const FILE: &str = "endpoints";
@@ -23,7 +23,7 @@
 
 /// Takes in what the disk holds. A file that cannot be read is no loss: endpoints announce
 /// themselves again.
-pub fn recall(data: &Path, now: Duration, registry: &mut Registry) {
+pub fn load(data: &Path, now: Duration, registry: &mut Registry) {
     match store::read::<Vec<Record>>(&data.join(FILE)) {
         Ok(records) => {
             for mut record in records.into_iter().flatten() {
@@ -39,19 +39,19 @@
 }
 
 /// Keeps the announcements on disk until the process ends.
-pub async fn keep(stock: Rc<Stock>) {
-    let Some(data) = stock.settings.data.clone() else {
+pub async fn persist(state: Rc<StoreState>) {
+    let Some(data) = state.settings.data.clone() else {
         return;
     };
     let (mut kept, mut failed) = (0, false);
     loop {
         compio::time::sleep(LOOK).await;
-        let now = stock.clock.now();
-        let count = stock.registry.borrow().count();
-        if stock.registry.borrow().changed(now, kept).is_empty() {
+        let now = state.clock.now();
+        let count = state.registry.borrow().count();
+        if state.registry.borrow().changed(now, kept).is_empty() {
             continue;
         }
-        let records = stock.registry.borrow().changed(now, 0);
+        let records = state.registry.borrow().changed(now, 0);
         let data = data.clone();
         let task = compio::runtime::spawn_blocking(move || store::write(&data, FILE, &records));
         match task.await.resume_unwind() {
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -41,6 +41,7 @@
     error::Error,
     follow,
     metrics::{
+        self,
         Metrics,
         gauge, //
     },
@@ -101,9 +102,9 @@
     let listener = TcpListener::bind(readiness).await.map_err(Error::Listen)?;
     let entry = Rc::new(Entry {
         clock: Clock::new(),
+        decisions: Decisions::new(Metrics::new()),
         packet: Cell::default(),
         random: RefCell::new(ChaCha8Rng::seed_from_u64(rand::random())),
-        decisions: Decisions::new(Metrics::new()),
         seeds: RefCell::new(settings.seeded()),
         stop: Rc::default(),
         view: RefCell::new(View::new(&settings.centre, settings.heartbeat() + LEARN)),
@@ -119,7 +120,8 @@
         Ready::<B>::new(entry.clone()),
     ))
     .detach();
-    expose(&entry).await?;
+    let metrics = entry.decisions.metrics.clone();
+    metrics::expose(metrics, &entry.settings, &entry.stop).await;
     follow::start::<B>(&entry);
     spawn(tick::<B>(entry.clone(), socket, port)).detach();
     let apply = |settings: Settings| *entry.seeds.borrow_mut() = settings.seeded();
@@ -165,18 +167,6 @@
     }
 }
 
-/// Serves the metrics, if the settings say so.
-async fn expose(entry: &Entry) -> Result<(), Error> {
-    let Some(port) = entry.settings.metrics else {
-        return Ok(());
-    };
-    let address = SocketAddrV4::new(entry.settings.address, port);
-    let listener = TcpListener::bind(address).await.map_err(Error::Listen)?;
-    let metrics = entry.decisions.metrics.clone();
-    spawn(process::serve(entry.stop.clone(), listener, metrics)).detach();
-    Ok(())
-}
-
 /// Brings the gauges up to what the entry knows.
 fn measure(entry: &Entry) {
     let (view, metrics) = (entry.view.borrow(), &entry.decisions.metrics);
@@ -261,7 +251,7 @@
 ) -> Option<SocketAddr> {
     match code {
         Code::FlowEndpointGone
-        | Code::FlowEndpointMute
+        | Code::FlowEndpointUnreachable
         | Code::FlowNoEndpoint
         | Code::PacketAddress => {
             B::reset(packet, out);
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -30,8 +30,8 @@
     },
     message::{
         Hello,
+        LoadReport, //
         Push,
-        Sight, //
     },
     view::{
         REPORTED,
@@ -111,7 +111,7 @@
     address: SocketAddrV4,
     backoff: &mut Backoff,
 ) -> io::Result<Infallible> {
-    let stream = connect(address, backoff.patience()).await?;
+    let stream = connect(address, backoff.connect_timeout()).await?;
     backoff.succeed();
     let (mut sender, receiver) = frames::<Hello, Push>(stream);
     let hello = Hello::Entry {
@@ -121,7 +121,7 @@
     sender.send(&hello).await?;
     log::info!(store = address.to_string(); "a store is followed");
     let taking = pin!(take::<B>(entry, stores, slot, receiver));
-    let reporting = pin!(report(entry, slot, sender.turn()));
+    let reporting = pin!(report(entry, slot, sender.retype()));
     match select(taking, reporting).await {
         Either::Left((result, _)) | Either::Right((result, _)) => result,
     }
@@ -147,14 +147,18 @@
 }
 
 /// Reports loads to the first store that is followed, and shows the others that the entry runs.
-async fn report(entry: &Entry, slot: usize, mut sender: Sender<Sight>) -> io::Result<Infallible> {
+async fn report(
+    entry: &Entry,
+    slot: usize,
+    mut sender: Sender<LoadReport>,
+) -> io::Result<Infallible> {
     let reports = slot == REPORTED;
     loop {
         let loads = match reports {
             true => entry.view.borrow().loads(),
             false => Vec::new(),
         };
-        sender.send(&Sight { loads, reports }).await?;
+        sender.send(&LoadReport { loads, reports }).await?;
         compio::time::sleep(REPORT).await;
     }
 }
--- a/crates/edge/src/frames.rs
+++ b/crates/edge/src/frames.rs
@@ -90,7 +90,7 @@
 
 impl<T> Sender<T> {
     /// Makes the rest of the stream carry another type of frames.
-    pub fn turn<U>(self) -> Sender<U> {
+    pub fn retype<U>(self) -> Sender<U> {
         Sender {
             sent: PhantomData,
             sink: self.sink,
@@ -114,7 +114,7 @@
 
 impl<T> Receiver<T> {
     /// Makes the rest of the stream carry another type of frames.
-    pub fn turn<U>(self) -> Receiver<U> {
+    pub fn retype<U>(self) -> Receiver<U> {
         Receiver {
             received: PhantomData,
             stream: self.stream,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,13 +11,14 @@
 mod control;
 mod decisions;
 mod document;
+mod endpoint_file;
 mod entry;
 mod error;
 mod follow;
 mod frames;
 mod links;
+mod load_delta;
 mod logs;
-mod memory;
 mod message;
 mod metrics;
 mod peers;
@@ -26,8 +27,7 @@
 mod run;
 mod serve;
 mod settings;
-mod shares;
-mod stock;
+mod state;
 mod store;
 mod view;
 
@@ -45,6 +45,7 @@
         Share, //
     },
     error::Error,
+    load_delta::LoadDelta,
     message::{
         Loaded,
         Push, //
@@ -54,6 +55,5 @@
         Role,
         Settings, //
     },
-    shares::Shares,
     view::View,
 };
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -28,33 +28,33 @@
         Hello,
         Receipt, //
     },
-    stock::Stock,
+    state::StoreState,
 };
 
 /// Time between two frames to a store if nothing has to be told at once.
 const BEAT: Duration = Duration::from_millis(250);
 
 /// Takes note of stores, and keeps a connection to each.
-pub fn learn(stock: &Rc<Stock>, addresses: impl IntoIterator<Item = SocketAddrV4>) {
+pub fn learn(state: &Rc<StoreState>, addresses: impl IntoIterator<Item = SocketAddrV4>) {
     for address in addresses {
-        let now = stock.clock.now();
-        if stock.peers.borrow_mut().learn(now, address) {
-            spawn(keep(stock.clone(), address)).detach();
+        let now = state.clock.now();
+        if state.peers.borrow_mut().learn(now, address) {
+            spawn(keep(state.clone(), address)).detach();
         }
     }
 }
 
 /// Keeps a connection to a store for as long as it is known.
-async fn keep(stock: Rc<Stock>, address: SocketAddrV4) {
+async fn keep(state: Rc<StoreState>, address: SocketAddrV4) {
     let mut lost = false;
     let mut backoff = Backoff::default();
     loop {
-        let Err(error) = session(&stock, address, &mut lost, &mut backoff).await;
+        let Err(error) = session(&state, address, &mut lost, &mut backoff).await;
         if !lost {
             log::info!(store = address.to_string(), reason = error.to_string(); "another store is not reached");
             lost = true;
         }
-        match stock.peers.borrow_mut().get_mut(address) {
+        match state.peers.borrow_mut().get_mut(address) {
             Some(peer) => peer.queue.clear(),
             None => return,
         }
@@ -63,42 +63,42 @@
 }
 
 async fn session(
-    stock: &Rc<Stock>,
+    state: &Rc<StoreState>,
     address: SocketAddrV4,
     lost: &mut bool,
     backoff: &mut Backoff,
 ) -> io::Result<Infallible> {
-    let stream = connect(address, backoff.patience()).await?;
+    let stream = connect(address, backoff.connect_timeout()).await?;
     backoff.succeed();
     let (mut sender, receiver) = frames::<Hello, Receipt>(stream);
-    sender.send(&Hello::Store(stock.member.clone())).await?;
+    sender.send(&Hello::Store(state.member.clone())).await?;
     if *lost {
         log::info!(store = address.to_string(); "another store is reached again");
         *lost = false;
     }
-    let telling = pin!(tell(stock, address, sender.turn()));
-    let counting = pin!(count(stock, address, receiver));
+    let telling = pin!(send_gossip(state, address, sender.retype()));
+    let counting = pin!(receive_receipts(state, address, receiver));
     match select(telling, counting).await {
         Either::Left((result, _)) | Either::Right((result, _)) => result,
     }
 }
 
-async fn tell(
-    stock: &Stock,
+async fn send_gossip(
+    state: &StoreState,
     address: SocketAddrV4,
     mut sender: Sender<Gossip>,
 ) -> io::Result<Infallible> {
     let mut told = 0;
     let mut beat = Duration::ZERO;
     loop {
-        let wake = match stock.peers.borrow_mut().get_mut(address) {
+        let wake = match state.peers.borrow_mut().get_mut(address) {
             Some(peer) => peer.wake.clone(),
             None => return Err(io::ErrorKind::NotFound.into()),
         };
         let listener = wake.listen();
-        let now = stock.clock.now();
+        let now = state.clock.now();
         let due = now >= beat;
-        let gossip = gossip(stock, address, told, due);
+        let gossip = gossip(state, address, told, due);
         if due || !gossip.log.is_empty() || !gossip.records.is_empty() {
             sender.send(&gossip).await?;
             told = gossip.upto;
@@ -106,14 +106,14 @@
         if due {
             beat = now + BEAT;
         }
-        let left = beat.saturating_sub(stock.clock.now());
+        let left = beat.saturating_sub(state.clock.now());
         let _woken = compio::time::timeout(left, listener).await;
     }
 }
 
 /// What a store has to be told that has all up to the change `told`.
-fn gossip(stock: &Stock, address: SocketAddrV4, told: u64, due: bool) -> Gossip {
-    let mut peers = stock.peers.borrow_mut();
+fn gossip(state: &StoreState, address: SocketAddrV4, told: u64, due: bool) -> Gossip {
+    let mut peers = state.peers.borrow_mut();
     let stores = match due {
         true => peers.addresses().collect(),
         false => Vec::new(),
@@ -122,28 +122,28 @@
         .get_mut(address)
         .map(|peer| std::mem::take(&mut peer.queue));
     drop(peers);
-    let registry = stock.registry.borrow();
+    let registry = state.registry.borrow();
     Gossip {
-        join: (due && stock.joins()).then(|| stock.member.clone()),
-        loads: due.then(|| stock.reported()),
+        join: (due && state.joins()).then(|| state.member.clone()),
+        loads: due.then(|| state.reported()),
         log: queue.unwrap_or_default().into(),
-        records: registry.touched(stock.clock.now(), told),
+        records: registry.touched(state.clock.now(), told),
         stores,
         upto: registry.count(),
     }
 }
 
-async fn count(
-    stock: &Stock,
+async fn receive_receipts(
+    state: &StoreState,
     address: SocketAddrV4,
     mut receiver: Receiver<Receipt>,
 ) -> io::Result<Infallible> {
     loop {
         let receipt = receiver.next().await?;
-        if let Some(peer) = stock.peers.borrow_mut().get_mut(address) {
+        if let Some(peer) = state.peers.borrow_mut().get_mut(address) {
             peer.receipt = receipt.upto;
-            peer.seen = stock.clock.now();
+            peer.seen = state.clock.now();
         }
-        stock.copied.notify(usize::MAX);
+        state.copied.notify(usize::MAX);
     }
 }
--- a/crates/edge/src/shares.rs
+++ b/crates/edge/src/load_delta.rs
@@ -6,11 +6,11 @@
 
 /// The loads that were told over a connection.
 #[derive(Clone, Debug, Default)]
-pub struct Shares {
+pub struct LoadDelta {
     told: BTreeMap<u32, Loaded>,
 }
 
-impl Shares {
+impl LoadDelta {
     /// What has changed since the last call: an endpoint without a load any more is told as idle.
     pub fn update(&mut self, now: Vec<Loaded>) -> Vec<Loaded> {
         let now: BTreeMap<_, _> = now
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -60,7 +60,7 @@
 /// What an entry sends to a store that it follows; an empty one shows that it still runs.
 #[derive(Clone, Debug, Default)]
 #[derive(Deserialize, Serialize)]
-pub struct Sight {
+pub struct LoadReport {
     /// Loads of the endpoints in use, if the entry reports them to this store.
     pub loads: Vec<Loaded>,
     /// Whether the loads replace those that it reported before.
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -1,11 +1,16 @@
 //! The process's metrics, in the Prometheus text format.
 
 use std::{
+    net::SocketAddrV4,
     rc::Rc,
     time::Duration, //
 };
 
 use codes::Code;
+use compio::{
+    net::TcpListener,
+    runtime::spawn, //
+};
 use http_body_util::Full;
 use hyper::{
     Request, Response, StatusCode,
@@ -16,7 +21,8 @@
 };
 use process::{
     CodeLabel,
-    Handler, //
+    Handler,
+    Stop, //
 };
 use prometheus_client::{
     encoding::{
@@ -32,6 +38,8 @@
     registry::Registry,
 };
 
+use crate::settings::Settings;
+
 /// Upper ends of the histograms' buckets, in seconds: from a sync of a fast disk to the longest
 /// that a caller waits.
 const BUCKETS: [f64; 9] = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0];
@@ -142,6 +150,17 @@
     }
 }
 
+/// Serves the metrics, if the settings say so. Without them the process still does its work.
+pub async fn expose(metrics: Metrics, settings: &Settings, stop: &Rc<Stop>) {
+    let Some(port) = settings.metrics else {
+        return;
+    };
+    match TcpListener::bind(SocketAddrV4::new(settings.address, port)).await {
+        Ok(listener) => spawn(process::serve(stop.clone(), listener, metrics)).detach(),
+        Err(error) => log::warn!(port; "the metrics are not served: {error}"),
+    }
+}
+
 /// A count as a gauge shows it.
 pub fn gauge(count: usize) -> i64 {
     i64::try_from(count).unwrap_or(i64::MAX)
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -35,17 +35,17 @@
         frames, //
     },
     links,
+    load_delta::LoadDelta,
     message::{
         Gossip,
         Hello,
+        LoadReport, //
         Push,
         Receipt,
-        Sight, //
     },
-    shares::Shares,
-    stock::{
+    state::{
         Reported,
-        Stock, //
+        StoreState, //
     },
 };
 
@@ -56,17 +56,17 @@
 const GATHER: Duration = Duration::from_millis(20);
 
 /// Most endpoints in one frame: some tens of kilobytes.
-const PART: usize = 200;
+const CHUNK: usize = 200;
 
 /// Pause after a failure to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Accepts connections of entries and other stores until the process ends.
-pub async fn accept(stock: Rc<Stock>, listener: TcpListener) {
+pub async fn accept(state: Rc<StoreState>, listener: TcpListener) {
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                spawn(answer(stock.clone(), stream, peer)).detach();
+                spawn(answer(state.clone(), stream, peer)).detach();
             }
             Err(error) => {
                 log::warn!("a connection could not be accepted: {error}");
@@ -76,13 +76,13 @@
     }
 }
 
-async fn answer(stock: Rc<Stock>, stream: TcpStream, peer: SocketAddr) {
+async fn answer(state: Rc<StoreState>, stream: TcpStream, peer: SocketAddr) {
     let (sender, mut receiver) = frames::<Receipt, Hello>(stream);
     let ended = match receiver.next().await {
         Ok(Hello::Entry { name, version }) => {
-            entry(&stock, &name, version, sender.turn(), receiver.turn()).await
+            entry(&state, &name, version, sender.retype(), receiver.retype()).await
         }
-        Ok(Hello::Store(member)) => gossip(&stock, &member, sender, receiver.turn()).await,
+        Ok(Hello::Store(member)) => gossip(&state, &member, sender, receiver.retype()).await,
         Err(error) => Err(error),
     };
     if let Err(error) = ended {
@@ -91,14 +91,14 @@
 }
 
 async fn entry(
-    stock: &Stock,
+    state: &StoreState,
     name: &str,
     version: u64,
     sender: Sender<Push>,
-    receiver: Receiver<Sight>,
+    receiver: Receiver<LoadReport>,
 ) -> io::Result<()> {
-    let pushing = pin!(push(stock, name, version, sender));
-    let looking = pin!(look(stock, name, receiver));
+    let pushing = pin!(push(state, name, version, sender));
+    let looking = pin!(receive_reports(state, name, receiver));
     match select(pushing, looking).await {
         Either::Left((result, _)) | Either::Right((result, _)) => result,
     }
@@ -106,44 +106,44 @@
 
 /// Tells an entry of all that it lacks.
 async fn push(
-    stock: &Stock,
+    state: &StoreState,
     name: &str,
     mut version: u64,
     mut sender: Sender<Push>,
 ) -> io::Result<()> {
     let mut told = 0;
     let mut stores = Vec::new();
-    let mut shares = Shares::default();
+    let mut delta = LoadDelta::default();
     let mut beat = Duration::ZERO;
     loop {
-        let listener = stock.changed.listen();
-        let now = stock.clock.now();
-        let known: Vec<_> = stock.peers.borrow().addresses().collect();
-        let document = stock.document.borrow().clone();
+        let listener = state.changed.listen();
+        let now = state.clock.now();
+        let known: Vec<_> = state.peers.borrow().addresses().collect();
+        let document = state.document.borrow().clone();
         let document = document.filter(|document| document.version > version);
-        let records = stock.registry.borrow().changed(now, told);
+        let records = state.registry.borrow().changed(now, told);
         if document.is_some() || !records.is_empty() || now >= beat {
-            told = stock.registry.borrow().count();
+            told = state.registry.borrow().count();
             version = document
                 .as_ref()
                 .map_or(version, |document| document.version);
             let last = Push {
-                current: stock.replica.borrow().raft().current(now),
+                current: state.replica.borrow().raft().current(now),
                 document: document.map(|document| (*document).clone()),
-                loads: shares.update(stock.elsewhere(name)),
+                loads: delta.update(state.elsewhere(name)),
                 records,
                 stores: match known == stores {
                     true => Vec::new(),
                     false => known.clone(),
                 },
             };
-            for frame in parts(last) {
+            for frame in chunks(last) {
                 sender.send(&frame).await?;
             }
             stores = known;
             beat = now + BEAT;
         }
-        let left = beat.saturating_sub(stock.clock.now());
+        let left = beat.saturating_sub(state.clock.now());
         if compio::time::timeout(left, listener).await.is_ok() {
             compio::time::sleep(GATHER).await;
         }
@@ -152,10 +152,10 @@
 
 /// Parts a push into frames that a slow link carries before the connection counts as silent. Only
 /// the last one may say that the entry knows all that it needs.
-fn parts(mut last: Push) -> Vec<Push> {
+fn chunks(mut last: Push) -> Vec<Push> {
     let mut frames = Vec::new();
-    while last.records.len() > PART {
-        let rest = last.records.split_off(PART);
+    while last.records.len() > CHUNK {
+        let rest = last.records.split_off(CHUNK);
         let records = std::mem::replace(&mut last.records, rest);
         frames.push(Push {
             records,
@@ -167,17 +167,21 @@
 }
 
 /// Takes what an entry sees.
-async fn look(stock: &Stock, name: &str, mut receiver: Receiver<Sight>) -> io::Result<()> {
+async fn receive_reports(
+    state: &StoreState,
+    name: &str,
+    mut receiver: Receiver<LoadReport>,
+) -> io::Result<()> {
     loop {
-        let sight = receiver.next().await?;
-        if sight.reports {
-            let now = stock.clock.now();
-            let mut loads = stock.loads.borrow_mut();
+        let report = receiver.next().await?;
+        if report.reports {
+            let now = state.clock.now();
+            let mut loads = state.loads.borrow_mut();
             loads.insert(
                 name.into(),
                 Reported {
                     at: now,
-                    loads: sight.loads,
+                    loads: report.loads,
                 },
             );
         }
@@ -186,7 +190,7 @@
 
 /// Takes what another store tells.
 async fn gossip(
-    stock: &Rc<Stock>,
+    state: &Rc<StoreState>,
     member: &Member,
     mut sender: Sender<Receipt>,
     mut receiver: Receiver<Gossip>,
@@ -194,30 +198,30 @@
     let SocketAddr::V4(address) = member.address else {
         return Err(io::ErrorKind::InvalidData.into());
     };
-    links::learn(stock, [address]);
+    links::learn(state, [address]);
     loop {
         let gossip = receiver.next().await?;
         let upto = gossip.upto;
-        take(stock, member, address, gossip);
+        take(state, member, address, gossip);
         sender.send(&Receipt { upto }).await?;
     }
 }
 
-fn take(stock: &Rc<Stock>, member: &Member, address: SocketAddrV4, gossip: Gossip) {
-    let now = stock.clock.now();
-    links::learn(stock, gossip.stores);
-    if let Some(peer) = stock.peers.borrow_mut().get_mut(address) {
+fn take(state: &Rc<StoreState>, member: &Member, address: SocketAddrV4, gossip: Gossip) {
+    let now = state.clock.now();
+    links::learn(state, gossip.stores);
+    if let Some(peer) = state.peers.borrow_mut().get_mut(address) {
         peer.seen = now;
         if let Some(loads) = gossip.loads {
             peer.loads = (now, loads);
         }
     }
-    let before = stock.registry.borrow().count();
+    let before = state.registry.borrow().count();
     for record in gossip.records {
-        stock.registry.borrow_mut().merge(now, record);
+        state.registry.borrow_mut().merge(now, record);
     }
-    let news = !stock.registry.borrow().changed(now, before).is_empty();
-    let mut replica = stock.replica.borrow_mut();
+    let news = !state.registry.borrow().changed(now, before).is_empty();
+    let mut replica = state.replica.borrow_mut();
     for bytes in gossip.log {
         match Message::decode(&bytes) {
             Some(message) => replica.receive(member.address, message),
@@ -231,6 +235,6 @@
     }
     drop(replica);
     if news {
-        stock.announce();
+        state.announce();
     }
 }
--- a/crates/edge/src/stock.rs
+++ b/crates/edge/src/state.rs
@@ -40,7 +40,7 @@
 
 /// What the tasks of a store share. No borrow is held across an await.
 #[derive(Debug)]
-pub struct Stock {
+pub struct StoreState {
     /// Notified when there is something to tell entries.
     pub changed: Event,
     pub clock: Clock,
@@ -62,7 +62,7 @@
     pub stop: Rc<Stop>,
 }
 
-impl Stock {
+impl StoreState {
     /// Tells entries and other stores at once that there is something new.
     pub fn announce(&self) {
         self.changed.notify(usize::MAX);
@@ -81,7 +81,7 @@
 
     /// Whether this store asks to be taken in as a member.
     pub fn joins(&self) -> bool {
-        self.replica.borrow().raft().outside(self.clock.now())
+        self.replica.borrow().raft().needs_join(self.clock.now())
     }
 
     /// Loads that the entries that follow this store reported lately, summed up.
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -42,10 +42,11 @@
     border::Border,
     clock::Clock,
     control::Control,
+    endpoint_file,
     error::Error,
     links,
-    memory,
     metrics::{
+        self,
         Metrics,
         gauge, //
     },
@@ -53,7 +54,7 @@
     reload::until_stop,
     serve,
     settings::Settings,
-    stock::Stock, //
+    state::StoreState, //
 };
 
 /// Time between two looks at what is silent or over.
@@ -77,55 +78,44 @@
         .await
         .map_err(Error::Listen)?;
     let listener = TcpListener::bind(control).await.map_err(Error::Listen)?;
-    let (stock, folder) = open(settings)?;
-    let stock = Rc::new(stock);
+    let (state, folder) = open(settings)?;
+    let state = Rc::new(state);
     log::info!(
-        name = &*stock.settings.name, member = stock.member.id.to_string();
+        name = &*state.settings.name, member = state.member.id.to_string();
         "a store has started"
     );
-    spawn(serve::accept(stock.clone(), inner)).detach();
-    spawn(drive::<B>(stock.clone(), folder)).detach();
-    spawn(memory::keep(stock.clone())).detach();
-    spawn(tick(stock.clone())).detach();
-    let face = Control::<B>::new(stock.clone());
-    spawn(process::serve(stock.stop.clone(), listener, face)).detach();
-    expose(&stock).await?;
-    links::learn(&stock, stock.settings.seeded());
+    spawn(serve::accept(state.clone(), inner)).detach();
+    spawn(drive::<B>(state.clone(), folder)).detach();
+    spawn(endpoint_file::persist(state.clone())).detach();
+    spawn(tick(state.clone())).detach();
+    let face = Control::<B>::new(state.clone());
+    spawn(process::serve(state.stop.clone(), listener, face)).detach();
+    let metrics = state.metrics.clone();
+    metrics::expose(metrics, &state.settings, &state.stop).await;
+    links::learn(&state, state.settings.seeded());
     let apply = |settings: Settings| {
-        links::learn(&stock, settings.seeded());
-        *stock.seeds.borrow_mut() = settings.seeded();
+        links::learn(&state, settings.seeded());
+        *state.seeds.borrow_mut() = settings.seeded();
     };
     until_stop(signals, path, apply).await?;
-    stock.stop.begin();
+    state.stop.begin();
     compio::time::sleep(LEAVE).await;
     log::info!("stopped");
     Ok(())
 }
 
-/// Serves the metrics, if the settings say so.
-async fn expose(stock: &Stock) -> Result<(), Error> {
-    let Some(port) = stock.settings.metrics else {
-        return Ok(());
-    };
-    let address = SocketAddrV4::new(stock.settings.address, port);
-    let listener = TcpListener::bind(address).await.map_err(Error::Listen)?;
-    let metrics = stock.metrics.clone();
-    spawn(process::serve(stock.stop.clone(), listener, metrics)).detach();
-    Ok(())
-}
-
 /// Brings the gauges up to what the store knows.
-fn measure(stock: &Stock) {
-    let (metrics, now) = (&stock.metrics, stock.clock.now());
-    let replica = stock.replica.borrow();
+fn measure(state: &StoreState) {
+    let (metrics, now) = (&state.metrics, state.clock.now());
+    let replica = state.replica.borrow();
     let version = replica.ledger().published().map_or(0, |held| held.version);
     metrics.leads.set(i64::from(replica.raft().leads()));
     metrics.quorum.set(i64::from(replica.raft().current(now)));
     metrics
         .version
         .set(i64::try_from(version).unwrap_or(i64::MAX));
-    metrics.stores.set(gauge(stock.peers.borrow().reached(now)));
-    let registry = stock.registry.borrow();
+    metrics.stores.set(gauge(state.peers.borrow().reached(now)));
+    let registry = state.registry.borrow();
     let silent = registry
         .iter()
         .filter(|known| known.silent && !known.departed);
@@ -137,7 +127,7 @@
     metrics.phase("known", registry.iter().count());
 }
 
-fn open(settings: Settings) -> Result<(Stock, Folder), Error> {
+fn open(settings: Settings) -> Result<(StoreState, Folder), Error> {
     let data = settings.data.clone().ok_or(Error::Missing("data"))?;
     let own = settings.own();
     let seeds = settings.seeded();
@@ -158,8 +148,8 @@
     }
     let clock = Clock::new();
     let mut registry = Registry::new(settings.heartbeat() * MISSED);
-    memory::recall(&data, clock.now(), &mut registry);
-    let stock = Stock {
+    endpoint_file::load(&data, clock.now(), &mut registry);
+    let state = StoreState {
         changed: Wake::new(),
         clock,
         copied: Wake::new(),
@@ -174,7 +164,7 @@
         settings,
         stop: Rc::default(),
     };
-    Ok((stock, folder))
+    Ok((state, folder))
 }
 
 /// A store as a member of the group; its address names it.
@@ -205,12 +195,12 @@
     ClusterId(hasher.finish())
 }
 
-async fn tick(stock: Rc<Stock>) {
+async fn tick(state: Rc<StoreState>) {
     loop {
         compio::time::sleep(TICK).await;
-        let now = stock.clock.now();
+        let now = state.clock.now();
         let members: Vec<_> = {
-            let replica = stock.replica.borrow();
+            let replica = state.replica.borrow();
             let members = replica.raft().members().0.iter();
             members.map(|member| member.address).collect()
         };
@@ -218,15 +208,15 @@
             SocketAddr::V4(address) => Some(*address),
             SocketAddr::V6(_) => None,
         });
-        links::learn(&stock, addresses);
-        let seeds = stock.seeds.borrow().clone();
-        stock.peers.borrow_mut().tick(now, |address| {
+        links::learn(&state, addresses);
+        let seeds = state.seeds.borrow().clone();
+        state.peers.borrow_mut().tick(now, |address| {
             seeds.contains(&address) || members.contains(&address.into())
         });
-        measure(&stock);
-        let before = stock.registry.borrow().count();
-        stock.registry.borrow_mut().tick(now);
-        let changed = stock.registry.borrow().changed(now, before);
+        measure(&state);
+        let before = state.registry.borrow().count();
+        state.registry.borrow_mut().tick(now);
+        let changed = state.registry.borrow().changed(now, before);
         for record in &changed {
             log::info!(
                 endpoint = &*record.announcement.name, silent = record.silent, age = record.age;
@@ -234,7 +224,7 @@
             );
         }
         if !changed.is_empty() {
-            stock.changed.notify(usize::MAX);
+            state.changed.notify(usize::MAX);
         }
     }
 }
@@ -242,15 +232,15 @@
 /// The process around the store's driver.
 struct Around<'a, B> {
     border: std::marker::PhantomData<B>,
-    stock: &'a Stock,
+    state: &'a StoreState,
     /// Version of the publication that was decoded last.
     version: Cell<u64>,
 }
 
-async fn drive<B: Border>(stock: Rc<Stock>, folder: Folder) {
+async fn drive<B: Border>(state: Rc<StoreState>, folder: Folder) {
     let around = Around::<B> {
         border: std::marker::PhantomData,
-        stock: &stock,
+        state: &state,
         version: Cell::new(0),
     };
     around.handled();
@@ -259,7 +249,7 @@
 
 impl<B: Border> Surroundings for Around<'_, B> {
     fn handled(&self) {
-        let replica = self.stock.replica.borrow();
+        let replica = self.state.replica.borrow();
         let Some(held) = replica.ledger().published() else {
             return;
         };
@@ -269,7 +259,7 @@
         self.version.set(held.version);
         match B::document(&held.bytes) {
             Ok(document) => {
-                *self.stock.document.borrow_mut() = Some(Rc::new(document));
+                *self.state.document.borrow_mut() = Some(Rc::new(document));
                 log::info!(version = held.version; "a later document is in force");
             }
             Err((code, advice)) => {
@@ -277,20 +267,20 @@
             }
         }
         drop(replica);
-        self.stock.changed.notify(usize::MAX);
+        self.state.changed.notify(usize::MAX);
     }
 
     fn now(&self) -> Duration {
-        self.stock.clock.now()
+        self.state.clock.now()
     }
 
     fn replica(&self) -> &RefCell<Replica> {
-        &self.stock.replica
+        &self.state.replica
     }
 
     fn send(&self, to: SocketAddr, message: &Message) {
         if let SocketAddr::V4(address) = to {
-            self.stock
+            self.state
                 .peers
                 .borrow_mut()
                 .send(address, message.encode());
--- a/crates/placement/src/endpoint.rs
+++ b/crates/placement/src/endpoint.rs
@@ -28,7 +28,7 @@
 
 /// Time for which an endpoint counts as out of reach after the last sign of that: what healed since
 /// must not be held against it.
-const MUTE: Duration = Duration::from_secs(1);
+const UNREACHABLE: Duration = Duration::from_secs(1);
 
 /// First time for which an endpoint gets no new flow after one that it did not answer; doubles with
 /// each further one. As long as a caller waits before it sends its second copy.
@@ -75,18 +75,18 @@
     pub tag: u64,
     /// Until when it is slow after its start.
     pub warm: Duration,
-    /// Its load from this entry's own flows.
-    pub(crate) own: Load,
     /// Until when it gets no new flow, and how many it has not answered in a row.
     pub(crate) avoid: (Duration, u32),
+    /// Its load from this entry's own flows.
+    pub(crate) own: Load,
+    /// When a packet of a caller last showed that it answers.
+    pub(crate) progress_at: Option<Duration>,
     /// When a request last went unanswered, although it was sent three times and nothing else came
     /// from the endpoint meanwhile.
-    pub(crate) mute: Option<Duration>,
+    pub(crate) unreachable: Option<Duration>,
     /// Time from a request's last packet to the first sign of its answer, in seconds, as a moving
     /// mean; none before the first one.
     pub(crate) work: Option<f64>,
-    /// When a packet of a caller last showed that it answers.
-    pub(crate) sign: Option<Duration>,
 }
 
 impl Endpoint {
@@ -98,15 +98,15 @@
             elsewhere: Load::default(),
             incarnation,
             local: true,
-            mute: None,
             name: name.into(),
             own: Load::default(),
             phase: Phase::Ready,
+            progress_at: None,
             reference: Reference::to(name),
             service,
-            sign: None,
             slots: 1,
             tag: 0,
+            unreachable: None,
             warm: Duration::ZERO,
             work: None,
         }
@@ -155,8 +155,8 @@
     /// Notes that it answered.
     pub(crate) fn answered(&mut self, now: Duration) {
         self.avoid = (Duration::ZERO, 0);
-        self.mute = None;
-        self.sign = Some(now);
+        self.unreachable = None;
+        self.progress_at = Some(now);
     }
 
     /// Notes how long it took to begin to answer a request.
@@ -169,19 +169,20 @@
     /// Notes that a request was sent again; returns whether the endpoint is not reached: it has
     /// shown no sign since the request came, and one has been sent three times by now.
     pub(crate) fn unanswered(&mut self, now: Duration, request: Request) -> bool {
-        if self.sign.is_some_and(|sign| sign >= request.since) {
+        if self.progress_at.is_some_and(|at| at >= request.since) {
             return false;
         }
         self.missed(now);
-        if request.repeats >= REPEATS || self.muted(now).is_some() {
-            self.mute = Some(now);
+        if request.repeats >= REPEATS || self.unreachable_since(now).is_some() {
+            self.unreachable = Some(now);
         }
-        self.mute == Some(now)
+        self.unreachable == Some(now)
     }
 
     /// When the endpoint last was out of reach, if that still counts.
-    pub(crate) fn muted(&self, now: Duration) -> Option<Duration> {
-        self.mute.filter(|at| now.saturating_sub(*at) <= MUTE)
+    pub(crate) fn unreachable_since(&self, now: Duration) -> Option<Duration> {
+        self.unreachable
+            .filter(|at| now.saturating_sub(*at) <= UNREACHABLE)
     }
 
     /// Notes that it did not answer a new flow.
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -147,7 +147,7 @@
     /// # Errors
     ///
     /// [`Code::FlowUnknown`] if the packet has no reference or one that is not known here,
-    /// [`Code::FlowEndpointGone`] if the endpoint has left, [`Code::FlowEndpointMute`] if it is out
+    /// [`Code::FlowEndpointGone`] if the endpoint has left, [`Code::FlowEndpointUnreachable`] if it is out
     /// of reach while a request waits that may be sent anew (`repeatable`).
     pub fn pass(
         &mut self,
@@ -168,7 +168,7 @@
         let stalled = self.stalled(now);
         if self.note(now, flow, key, progress) && repeatable && !stalled {
             self.drop_flow(&flow);
-            return Err(Code::FlowEndpointMute);
+            return Err(Code::FlowEndpointUnreachable);
         }
         Ok(key)
     }
@@ -223,8 +223,10 @@
         let lost = |flow: &Flow| {
             let endpoint = endpoints.get(flow.endpoint);
             endpoint.is_some_and(|endpoint| {
-                let muted = endpoint.muted(now).is_some_and(|at| flow.seen < at);
-                endpoint.phase == Phase::Gone || muted
+                let unreachable_since = endpoint
+                    .unreachable_since(now)
+                    .is_some_and(|at| flow.seen < at);
+                endpoint.phase == Phase::Gone || unreachable_since
             })
         };
         let idle = |flow: &Flow| flow.open && !flow.closed && flow.request.is_none();
@@ -328,8 +330,8 @@
         let service = endpoint.service;
         *held = Endpoint {
             avoid: held.avoid,
-            mute: held.mute,
-            sign: held.sign,
+            unreachable: held.unreachable,
+            progress_at: held.progress_at,
             work: held.work,
             elsewhere: held.elsewhere,
             own: held.own,
@@ -337,8 +339,8 @@
         };
         if reborn {
             held.avoid = (Duration::ZERO, 0);
-            held.mute = None;
-            held.sign = None;
+            held.unreachable = None;
+            held.progress_at = None;
             held.work = None;
             held.own = Load::default();
             self.flows.retain(|_, flow| flow.endpoint != key);
--- a/crates/placement/tests/pool.rs
+++ b/crates/placement/tests/pool.rs
@@ -157,11 +157,11 @@
     assert_eq!(world.pass(ms(200), 1, "i-0", REQUEST), Ok(()));
     assert_eq!(
         world.pass(ms(600), 1, "i-0", REQUEST),
-        Err(Code::FlowEndpointMute)
+        Err(Code::FlowEndpointUnreachable)
     );
     assert_eq!(
         world.pass(ms(610), 2, "i-0", REQUEST),
-        Err(Code::FlowEndpointMute)
+        Err(Code::FlowEndpointUnreachable)
     );
     assert_eq!(world.pass(ms(610), 3, "i-1", REQUEST), Ok(()));
     for port in 10..20 {
--- a/crates/store/src/following.rs
+++ b/crates/store/src/following.rs
@@ -27,7 +27,7 @@
         round: u64,
     ) {
         self.hear(from);
-        self.told = self.told.max(commit);
+        self.leader_commit = self.leader_commit.max(commit);
         let covered = previous.index < self.log.base().index;
         if !covered && self.log.term(previous.index) != Some(previous.term) {
             let next = self.retry(previous.index);
--- a/crates/store/src/raft.rs
+++ b/crates/store/src/raft.rs
@@ -77,7 +77,7 @@
     pub(crate) snapshot: Option<Encoded>,
     pub(crate) timing: Timing,
     /// Last entry that a leader said is committed.
-    pub(crate) told: Index,
+    pub(crate) leader_commit: Index,
 }
 
 impl Raft {
@@ -115,7 +115,7 @@
             role: Role::Follower,
             snapshot: saved.snapshot,
             timing,
-            told: Index::default(),
+            leader_commit: Index::default(),
         };
         if !raft.alone() {
             raft.postpone();
@@ -142,7 +142,7 @@
         self.apply();
         self.confirm();
         self.compact();
-        self.tend();
+        self.reconcile();
         self.replicate();
         mem::take(&mut self.actions)
     }
@@ -171,7 +171,7 @@
         let started = match &self.role {
             Role::Leader(leader) => leader.start <= self.commit,
             Role::Candidate(_) | Role::Follower | Role::PreCandidate(_) => {
-                self.heard.is_some() && self.applied >= self.told
+                self.heard.is_some() && self.applied >= self.leader_commit
             }
         };
         started && self.confirmed(now)
@@ -179,7 +179,7 @@
 
     /// Whether the store has reason to ask to be taken in: as far as it knows it is no member, or
     /// it hears no leader, as after it was replaced while it was silent.
-    pub fn outside(&self, now: Duration) -> bool {
+    pub fn needs_join(&self, now: Duration) -> bool {
         self.log.members().get(self.id).is_none() || !(self.leads() || self.confirmed(now))
     }
 
--- a/crates/store/src/roster.rs
+++ b/crates/store/src/roster.rs
@@ -41,7 +41,7 @@
     }
 
     /// Makes the next change of the members, if there is one to be made.
-    pub(crate) fn tend(&mut self) {
+    pub(crate) fn reconcile(&mut self) {
         let Some(wanted) = self.timing.voters else {
             return;
         };
--- a/crates/store/tests/group.rs
+++ b/crates/store/tests/group.rs
@@ -226,7 +226,7 @@
 }
 
 #[test]
-fn tend_silent_voter() {
+fn reconcile_silent_voter() {
     let mut world = formed(4);
     let leader = world.leader().unwrap();
     let silent = (0..3).find(|number| *number != leader).unwrap();
--- a/crates/store/tests/world/mod.rs
+++ b/crates/store/tests/world/mod.rs
@@ -166,7 +166,7 @@
         for number in 0..self.nodes.len() {
             let node = &self.nodes[number];
             let id = node.raft.id();
-            if node.raft.outside(node.clock) {
+            if node.raft.needs_join(node.clock) {
                 let asking = Member {
                     id,
                     ..member(number)
