An entry leaves a store that is cut off from the others

Ruled out: a slow entry, a lost push.

Parts of a push say that more follows.

Conclusion: what is told of freshness has to be acted on; the split of four stores never shows it, since no side has a quorum.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -33,6 +33,7 @@
         LoadReport, //
         Push,
     },
+    staleness::Staleness,
     view::{
         REPORTED,
         SOURCES, //
@@ -80,6 +81,7 @@
 async fn follow<B: Border>(entry: Rc<Entry>, stores: Rc<RefCell<Stores>>, slot: usize) {
     let mut last = None;
     let mut backoff = Backoff::default();
+    let mut staleness = Staleness::default();
     loop {
         let seeds = entry.seeds.borrow().clone();
         let drawn = stores.borrow().draw(&seeds, last);
@@ -89,7 +91,8 @@
         };
         last = Some(address);
         set(&stores, slot, Some(address));
-        let Err(error) = session::<B>(&entry, &stores, slot, address, &mut backoff).await;
+        let Err(error) =
+            session::<B>(&entry, &stores, slot, address, &mut backoff, &mut staleness).await;
         log::info!(store = address.to_string(), reason = error.to_string(); "a store is followed no longer");
         set(&stores, slot, None);
         let now = entry.clock.now();
@@ -110,6 +113,7 @@
     slot: usize,
     address: SocketAddrV4,
     backoff: &mut Backoff,
+    staleness: &mut Staleness,
 ) -> io::Result<Infallible> {
     let stream = connect(address, backoff.connect_timeout()).await?;
     backoff.succeed();
@@ -120,7 +124,7 @@
     };
     sender.send(&hello).await?;
     log::info!(store = address.to_string(); "a store is followed");
-    let taking = pin!(take::<B>(entry, stores, slot, receiver));
+    let taking = pin!(take::<B>(entry, stores, slot, receiver, staleness));
     let reporting = pin!(report(entry, slot, sender.retype()));
     match select(taking, reporting).await {
         Either::Left((result, _)) | Either::Right((result, _)) => result,
@@ -132,9 +136,13 @@
     stores: &RefCell<Stores>,
     slot: usize,
     mut receiver: Receiver<Push>,
+    staleness: &mut Staleness,
 ) -> io::Result<Infallible> {
     loop {
         let push = receiver.next().await?;
+        if !push.more && staleness.note(entry.clock.now(), push.current) {
+            return Err(io::Error::other("it is cut off from the other stores"));
+        }
         if !push.stores.is_empty() {
             let mut stores = stores.borrow_mut();
             stores.known = push.stores.iter().copied().collect();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -27,6 +27,7 @@
 mod run;
 mod serve;
 mod settings;
+mod staleness;
 mod state;
 mod store;
 mod view;
@@ -55,5 +56,6 @@
         Role,
         Settings, //
     },
+    staleness::Staleness,
     view::View,
 };
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -51,6 +51,8 @@
     pub document: Option<Document>,
     /// What other entries told of endpoints' loads.
     pub loads: Vec<Loaded>,
+    /// Whether another frame with endpoints follows at once.
+    pub more: bool,
     /// Endpoints that changed.
     pub records: Vec<Record>,
     /// Inner addresses of the stores that it knows, if they have changed.
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -131,6 +131,7 @@
                 current: state.replica.borrow().raft().current(now),
                 document: document.map(|document| (*document).clone()),
                 loads: delta.update(state.elsewhere(name)),
+                more: false,
                 records,
                 stores: match known == stores {
                     true => Vec::new(),
@@ -158,6 +159,7 @@
         let rest = last.records.split_off(CHUNK);
         let records = std::mem::replace(&mut last.records, rest);
         frames.push(Push {
+            more: true,
             records,
             ..Push::default()
         });
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -157,7 +157,7 @@
             .collect();
         if let Some(source) = self.sources.get_mut(source) {
             source.live = true;
-            source.current = push.current;
+            source.current = push.current || (push.more && source.current);
         }
         for record in push.records {
             self.merge(now, source, record);
