--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -12,21 +12,24 @@
     Phase, //
 };
 
-/// What an open flow without a request in work counts, in requests: the share of its time that a
-/// flow is likely to be at work.
+/// What an open flow without a request in work counts, in requests. Most flows are idle most of the
+/// time; a larger weight pushes new flows out of the data centre (docs/design/platform.md).
 const FLOW_WEIGHT: f64 = 0.04;
 
 /// What the way to another data centre counts, in requests for each slot: a hop is short beside the
-/// work, but a flow that stays at home survives a cut.
+/// work, but a flow that stays at home survives a cut (weighed in docs/design/platform.md).
 const HOP_WEIGHT: f64 = 2.0;
 
-/// Speed of an endpoint that has just started, beside one that is warm.
+/// Speed of an endpoint that has just started, beside one that is warm. Endpoints announce how long
+/// they stay slow, not how slow; a start commonly takes half as long again for each request.
 const COLD_SPEED: f64 = 0.6;
 
-/// Least speed that an endpoint is taken to have, beside the others of its service.
+/// Least speed that an endpoint is taken to have, beside the others of its service: below it, the
+/// mean of a few requests says little more.
 const SLOWEST: f64 = 0.2;
 
-/// Endpoints of the own data centre, and of the others, that are drawn for each choice.
+/// Endpoints of the own data centre, and of the others, that are drawn for each choice: two give
+/// most of the gain, four choose better among the few of a small data centre.
 const DRAWN: usize = 4;
 
 /// How good an endpoint is for a new flow.
