Signals are taken before the settings are read

Change: handlers are split from the stream that needs a runtime and are the first step of both programs.

Left: a signal while the program is loaded still ends it.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -18,6 +18,7 @@
 };
 use miette::Report;
 use process::{
+    Handlers,
     Signal,
     Signals, //
 };
@@ -77,6 +78,13 @@
         eprintln!("mimosausherd: a settings file is needed; see --help");
         return Exit::Usage;
     };
+    let handlers = match Handlers::new() {
+        Ok(handlers) => handlers,
+        Err(error) => {
+            eprintln!("mimosausherd: {error}");
+            return Exit::Failure;
+        }
+    };
     let settings = match Settings::read(Path::new(path)) {
         Ok(settings) => settings,
         Err(error) => {
@@ -87,7 +95,7 @@
     if options.check {
         return Exit::Success;
     }
-    match start(settings) {
+    match start(settings, handlers) {
         Ok(()) => Exit::Success,
         Err(error) => {
             eprintln!("mimosausherd: {error}");
@@ -96,7 +104,7 @@
     }
 }
 
-fn start(settings: Settings) -> Result<(), Error> {
+fn start(settings: Settings, handlers: Handlers) -> Result<(), Error> {
     let _log = logs::start(&settings.log)?;
     let timers = tokio::runtime::Builder::new_current_thread()
         .enable_time()
@@ -104,12 +112,12 @@
         .map_err(Error::Runtime)?;
     let _entered = timers.enter();
     let runtime = Runtime::new().map_err(Error::Runtime)?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(settings, handlers))
 }
 
 /// Runs all roles until the planned stop is done.
-async fn serve(settings: Settings) -> Result<(), Error> {
-    let signals = Signals::new().map_err(Error::Runtime)?;
+async fn serve(settings: Settings, handlers: Handlers) -> Result<(), Error> {
+    let signals = Signals::new(handlers).map_err(Error::Runtime)?;
     let listeners = Listeners::open(&settings.listen).await?;
     let addresses = listeners.addresses().map_err(Error::Runtime)?;
     let (node, folder) = Node::new(settings, addresses)?;
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -25,6 +25,7 @@
 };
 use placement::Phase;
 use process::{
+    Handlers,
     Signals,
     Stop, //
 };
@@ -94,8 +95,12 @@
 }
 
 /// Runs an entry until its planned stop is done.
-pub async fn serve<B: Border>(settings: Settings, path: &Path) -> Result<(), Error> {
-    let signals = Signals::new().map_err(Error::Runtime)?;
+pub async fn serve<B: Border>(
+    settings: Settings,
+    path: &Path,
+    handlers: Handlers,
+) -> Result<(), Error> {
+    let signals = Signals::new(handlers).map_err(Error::Runtime)?;
     let packets = settings.packets.ok_or(Error::Missing("packets"))?;
     let readiness = settings.readiness.ok_or(Error::Missing("readiness"))?;
     let socket = UdpSocket::bind(packets).await.map_err(Error::Listen)?;
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -6,6 +6,7 @@
 };
 
 use compio::runtime::Runtime;
+use process::Handlers;
 
 use crate::{
     border::Border,
@@ -31,11 +32,12 @@
 }
 
 fn start<B: Border>(path: &Path) -> Result<(), Error> {
+    let handlers = Handlers::new().map_err(Error::Runtime)?;
     let settings = Settings::read(path)?;
     let _log = logs::start()?;
     let runtime = Runtime::new().map_err(Error::Runtime)?;
     match settings.role {
-        Role::Entry => runtime.block_on(entry::serve::<B>(settings, path)),
-        Role::Store => runtime.block_on(store::serve::<B>(settings, path)),
+        Role::Entry => runtime.block_on(entry::serve::<B>(settings, path, handlers)),
+        Role::Store => runtime.block_on(store::serve::<B>(settings, path, handlers)),
     }
 }
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -21,7 +21,10 @@
     runtime::spawn, //
 };
 use event_listener::Event as Wake;
-use process::Signals;
+use process::{
+    Handlers,
+    Signals, //
+};
 use replica::{
     Replica,
     Surroundings, //
@@ -71,8 +74,12 @@
 const LEAVE: Duration = Duration::from_millis(300);
 
 /// Runs a store until its planned stop is done.
-pub async fn serve<B: Border>(settings: Settings, path: &Path) -> Result<(), Error> {
-    let signals = Signals::new().map_err(Error::Runtime)?;
+pub async fn serve<B: Border>(
+    settings: Settings,
+    path: &Path,
+    handlers: Handlers,
+) -> Result<(), Error> {
+    let signals = Signals::new(handlers).map_err(Error::Runtime)?;
     let control = settings.control.ok_or(Error::Missing("control"))?;
     let inner = TcpListener::bind(settings.inner())
         .await
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -16,6 +16,7 @@
         serve, //
     },
     signals::{
+        Handlers,
         Signal,
         Signals, //
     },
--- a/crates/process/src/signals.rs
+++ b/crates/process/src/signals.rs
@@ -35,18 +35,19 @@
     Stop,
 }
 
-/// The signals that came; such of one kind that come together count as one.
+/// The handlers of the signals, which need no runtime.
 ///
-/// The handlers stay for as long as the process lives, so that a later signal never ends it.
+/// They stay for as long as the process lives, so that a later signal never ends it.
 #[derive(Debug)]
-pub struct Signals {
+pub struct Handlers {
+    reader: Pair,
     reload: Arc<AtomicBool>,
     stop: Arc<AtomicBool>,
-    stream: UnixStream,
 }
 
-impl Signals {
-    /// Takes all such signals from now on.
+impl Handlers {
+    /// Takes all such signals from now on. A process does this first: a signal that comes earlier
+    /// ends it.
     ///
     /// # Errors
     ///
@@ -60,9 +61,32 @@
         pipe::register(SIGHUP, writer.try_clone()?)?;
         pipe::register(SIGTERM, writer)?;
         Ok(Self {
+            reader,
             reload,
             stop,
-            stream: UnixStream::from_std(reader)?,
+        })
+    }
+}
+
+/// The signals that came; such of one kind that come together count as one.
+#[derive(Debug)]
+pub struct Signals {
+    reload: Arc<AtomicBool>,
+    stop: Arc<AtomicBool>,
+    stream: UnixStream,
+}
+
+impl Signals {
+    /// Reads what the handlers take, also what they took before. Needs a running runtime.
+    ///
+    /// # Errors
+    ///
+    /// What the system reported.
+    pub fn new(handlers: Handlers) -> io::Result<Self> {
+        Ok(Self {
+            reload: handlers.reload,
+            stop: handlers.stop,
+            stream: UnixStream::from_std(handlers.reader)?,
         })
     }
 
