The circle around Node in the daemon is taken apart

Cause: nine files of the daemon needed each other: Node held the claims, the pools, the router and the connections, and each of them took Node whole. None could be read or built alone.

Ruled out: moving functions between the files alone; the circle is in what they reach, not in where they stand.

Change: what is known of the deployment (document, endpoints, members, clock) is a part of its own, Known. Calls to other entries, a service's candidates, the kept answer and the count of untold ends are files of their own. Node only holds the parts.

No circle is left in crates/daemon/src.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -91,7 +91,7 @@
         (&Method::GET, "/readyz") => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         (&Method::GET, "/v1/audit") => page(&node, operators::audit(&node, &uri).await),
         (&Method::GET, "/v1/document") => {
-            json(&convert_change::texts(&node.configuration.borrow()))
+            json(&convert_change::texts(&node.known.configuration.borrow()))
         }
         (&Method::GET, "/v1/endpoints") => json(&endpoints::page(&node)),
         (&Method::GET, "/v1/history") => page(&node, operators::history(&node, &uri).await),
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -16,15 +16,13 @@
 };
 
 use crate::{
+    connections::Sender,
     job::Job,
     node::Node,
     refusal::RUN_HEADER,
     refused::Refused,
     slot::Slot,
-    tracked::{
-        Sender,
-        Tracked, //
-    },
+    tracked::Tracked, //
 };
 
 /// Time after which a connection that is not made is given up.
@@ -48,13 +46,13 @@
 ///
 /// Why it is refused; the code says whether it may have run.
 pub async fn run(node: &Rc<Node>, mut job: Job) -> Result<Response<Tracked>, Refused> {
-    let (mut slot, mut key) = Slot::admit(node, &job.service, job.deadline).await?;
+    let (mut slot, mut key) = Slot::admit(&node.dispatch, &job.service, job.deadline).await?;
     loop {
         match send(node, &mut job, key).await {
             Attempt::Answered(address, sender, response) => {
-                return Ok(
-                    response.map(|body| Tracked::new(node.clone(), slot, address, sender, body))
-                );
+                return Ok(response.map(|body| {
+                    Tracked::new(node.connections.clone(), slot, address, sender, body)
+                }));
             }
             Attempt::Late => {
                 slot.end(Outcome::Lost);
@@ -73,6 +71,7 @@
 /// Sends the request on an idle connection, or on a new one if that turns out to be closed.
 async fn send(node: &Rc<Node>, job: &mut Job, key: EndpointKey) -> Attempt {
     let address = node
+        .known
         .directory
         .borrow()
         .get(key)
--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -5,10 +5,7 @@
         Cell,
         RefCell, //
     },
-    collections::{
-        BTreeMap,
-        BTreeSet, //
-    },
+    collections::BTreeSet,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -20,29 +17,36 @@
     Holder,
     KeyHash,
     Member,
+    Record,
     Reply,
     Ring,
     Settled,
     Verdict,
     Vote, //
 };
-use event_listener::Event;
 use futures::{
     StreamExt,
     stream::FuturesUnordered, //
 };
-use tarpc::context;
-use wire::Client;
+use prometheus_client::metrics::gauge::Gauge;
+use settings::Settings;
 
 use crate::{
+    clients::Clients,
     convert_claims,
-    node::Node,
-    pending::Pending, //
+    known::Known,
+    pending::{
+        Pending,
+        Untold, //
+    },
 };
 
 /// Time after which a holder that does not reply is given up.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The same for all claims of a holder, which are more than one packet.
+const RECORDS_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Attempts to tell a holder how a request ended.
 const SETTLE_ATTEMPTS: u32 = 4;
 
@@ -53,307 +57,254 @@
 /// Time between two looks at the membership.
 const PAUSE: Duration = Duration::from_millis(250);
 
-/// Time for which a stop waits until the holders are told how the last requests ended.
-const STOP_PATIENCE: Duration = Duration::from_secs(30);
-
 /// This entry's part in the claims.
 #[derive(Debug)]
 pub struct Claims {
-    clients: RefCell<BTreeMap<SocketAddr, Client>>,
+    clients: Clients,
     holder: RefCell<Holder>,
+    instance: settings::Instance,
+    known: Rc<Known>,
     opened: Cell<Option<Duration>>,
     ring: RefCell<Ring>,
+    seeds: Box<[SocketAddr]>,
     serial: Cell<u64>,
-    told: Event,
-    untold: Cell<usize>,
+    /// Whether all claims on this entry's keys are known, as others see it.
+    settled: Gauge,
+    untold: Rc<Untold>,
 }
 
 impl Claims {
-    /// Creates the part of the entry `own`, which may have missed earlier claims.
-    pub fn new(own: &str) -> Self {
+    /// Creates the part of an entry, which may have missed earlier claims.
+    pub fn new(known: Rc<Known>, settings: &Settings, settled: Gauge) -> Self {
         let retention = Duration::from_millis(settings::KEEP_MS);
+        let holder = Holder::new(Duration::ZERO, &settings.instance.name, retention);
         Self {
-            clients: RefCell::new(BTreeMap::new()),
-            holder: RefCell::new(Holder::new(Duration::ZERO, own, retention)),
+            clients: Clients::new(known.clone()),
+            holder: RefCell::new(holder),
+            instance: settings.instance.clone(),
+            known,
             opened: Cell::new(None),
             ring: RefCell::new(Ring::new()),
+            seeds: settings.seeds.clone(),
             serial: Cell::new(0),
-            told: Event::new(),
-            untold: Cell::new(0),
+            settled,
+            untold: Rc::default(),
         }
     }
 
-    /// Takes note of something that the holders are not told yet.
-    pub fn begun(&self) {
-        self.untold.set(self.untold.get() + 1);
-    }
-
-    /// Takes note that the holders are told.
-    pub fn ended(&self) {
-        self.untold.set(self.untold.get().saturating_sub(1));
-        self.told.notify(usize::MAX);
+    /// Counts a request until the holders of its key are told how it ended.
+    pub fn pending(&self) -> Pending {
+        Pending::new(self.untold.clone())
     }
 
     /// Waits for a while until the holders are told how all requests ended.
     pub async fn idle(&self) {
-        let wait = async {
-            while self.untold.get() > 0 {
-                let listener = self.told.listen();
-                if self.untold.get() > 0 {
-                    listener.await;
-                }
-            }
-        };
-        let _late = compio::time::timeout(STOP_PATIENCE, wait).await;
+        self.untold.none().await;
     }
-}
 
-/// A new claim of this entry.
-pub fn new(node: &Node, key: KeyHash, print: u64) -> Claim {
-    let serial = node.claims.serial.get() + 1;
-    node.claims.serial.set(serial);
-    Claim {
-        id: ClaimId {
-            claimant: node.settings.instance.name.clone(),
-            incarnation: node.members.borrow().own().incarnation,
-            serial,
-        },
-        key,
-        print,
+    /// Creates a new claim of this entry.
+    pub fn new_claim(&self, key: KeyHash, print: u64) -> Claim {
+        let serial = self.serial.get() + 1;
+        self.serial.set(serial);
+        Claim {
+            id: ClaimId {
+                claimant: self.instance.name.clone(),
+                incarnation: self.known.incarnation(),
+                serial,
+            },
+            key,
+            print,
+        }
     }
-}
 
-/// Follows the membership and takes claims over from other holders until the process ends;
-/// `asked` says whether the stores have told already if any document was ever in force.
-pub async fn maintain(node: Rc<Node>, mut asked: bool) {
-    loop {
-        refresh(&node);
-        if !asked {
-            asked = ask_unused(&node).await;
-        }
-        let wants = node.claims.holder.borrow().wants(node.now());
-        if wants {
-            take_over(&node).await;
+    /// Follows the membership and takes claims over from other holders until the process ends;
+    /// `asked` says whether the stores have told already if any document was ever in force.
+    pub async fn maintain(self: Rc<Self>, mut asked: bool) {
+        loop {
+            self.refresh();
+            if !asked {
+                asked = self.ask_unused().await;
+            }
+            let wants = self.holder.borrow().wants(self.known.now());
+            if wants {
+                self.take_over().await;
+            }
+            let settled = self.holder.borrow().settled(self.known.now());
+            self.settled.set(i64::from(settled));
+            compio::time::sleep(PAUSE).await;
         }
-        let settled = node.claims.holder.borrow().settled(node.now());
-        node.metrics.claims.set(i64::from(settled));
-        compio::time::sleep(PAUSE).await;
     }
-}
 
-/// Asks the holders of a key for it.
-pub async fn claim(node: &Rc<Node>, claim: &Claim) -> Verdict {
-    refresh(node);
-    let opened = node.claims.opened.get();
-    if opened.is_none_or(|opened| node.now() < opened + START) {
-        return Verdict::Unknown;
-    }
-    let (holders, quorum) = {
-        let ring = node.claims.ring.borrow();
-        let holders: Vec<_> = ring.holders(&claim.key).into_iter().cloned().collect();
-        (holders, ring.quorum())
-    };
-    let mut vote = Vote::new(holders.len(), quorum);
-    let mut replies: FuturesUnordered<_> = holders
-        .into_iter()
-        .map(|member| ask(node.clone(), member, claim.clone()))
-        .collect();
-    while let Some(reply) = replies.next().await {
-        if let Some(verdict) = vote.reply(reply) {
-            // The others are still asked, so that as many holders as possible know the claim.
-            compio::runtime::spawn(async move { while replies.next().await.is_some() {} }).detach();
-            return verdict;
+    /// Asks the holders of a key for it.
+    pub async fn claim(self: &Rc<Self>, claim: &Claim) -> Verdict {
+        self.refresh();
+        let opened = self.opened.get();
+        if opened.is_none_or(|opened| self.known.now() < opened + START) {
+            return Verdict::Unknown;
+        }
+        let (holders, quorum) = {
+            let ring = self.ring.borrow();
+            let holders: Vec<_> = ring.holders(&claim.key).into_iter().cloned().collect();
+            (holders, ring.quorum())
+        };
+        let mut vote = Vote::new(holders.len(), quorum);
+        let mut replies: FuturesUnordered<_> = holders
+            .into_iter()
+            .map(|member| self.clone().ask(member, claim.clone()))
+            .collect();
+        while let Some(reply) = replies.next().await {
+            if let Some(verdict) = vote.reply(reply) {
+                // The others are still asked, so that as many holders as possible know the claim.
+                compio::runtime::spawn(async move { while replies.next().await.is_some() {} })
+                    .detach();
+                return verdict;
+            }
         }
+        vote.last()
     }
-    vote.last()
-}
 
-/// Tells the holders of a key how its request ended.
-pub fn settle(node: &Rc<Node>, claim: &Claim, settled: Settled) {
-    let ring = node.claims.ring.borrow();
-    for member in ring.holders(&claim.key) {
-        let (pending, claim) = (Pending::new(node.clone()), claim.clone());
-        let task = tell(node.clone(), member.clone(), claim, settled.clone());
-        compio::runtime::spawn(async move {
-            task.await;
-            drop(pending);
-        })
-        .detach();
+    /// Tells the holders of a key how its request ended.
+    pub fn settle(self: &Rc<Self>, claim: &Claim, settled: &Settled) {
+        let ring = self.ring.borrow();
+        for member in ring.holders(&claim.key) {
+            let pending = self.pending();
+            let task = self
+                .clone()
+                .tell(member.clone(), claim.clone(), settled.clone());
+            compio::runtime::spawn(async move {
+                task.await;
+                drop(pending);
+            })
+            .detach();
+        }
     }
-}
-
-/// Replies to a claim as one of its holders.
-pub fn reply(node: &Node, claim: Claim) -> Reply {
-    refresh(node);
-    node.claims.holder.borrow_mut().claim(node.now(), claim)
-}
-
-/// Takes in how the request of a claim ended, as one of its holders.
-pub fn settled(node: &Node, claim: &Claim, settled: Settled) {
-    let mut holder = node.claims.holder.borrow_mut();
-    holder.settle(&claim.key, &claim.id, settled);
-}
-
-/// All claims, for a new holder.
-pub fn records(node: &Node) -> Option<Vec<dispatch::Record>> {
-    refresh(node);
-    node.claims.holder.borrow().records(node.now())
-}
-
-/// Whether the process that made a claim is still known.
-pub fn present(node: &Node, id: &ClaimId) -> bool {
-    let ring = node.claims.ring.borrow();
-    ring.member(&id.claimant)
-        .is_some_and(|member| member.incarnation == id.incarnation)
-}
 
-fn refresh(node: &Node) {
-    let members = node.members.borrow();
-    let own = Member {
-        centre: node.settings.instance.centre.clone(),
-        incarnation: node.members.borrow().own().incarnation,
-        name: node.settings.instance.name.clone(),
-    };
-    let others = members
-        .iter()
-        .filter(|member| member.requests.is_some())
-        .map(|member| Member {
-            centre: member.centre.clone(),
-            incarnation: member.incarnation,
-            name: member.name.clone(),
-        });
-    let ring = node.claims.ring.borrow().with_members(others.chain([own]));
-    if node.claims.opened.get().is_none() && node.configuration.borrow().revision() > 0 {
-        node.claims.opened.set(Some(node.now()));
+    /// Replies to a claim as one of its holders.
+    pub fn reply(&self, claim: Claim) -> Reply {
+        self.refresh();
+        self.holder.borrow_mut().claim(self.known.now(), claim)
     }
-    let mut holder = node.claims.holder.borrow_mut();
-    holder.retain(node.configuration.borrow().retention());
-    holder.view(node.now(), ring.clone());
-    *node.claims.ring.borrow_mut() = ring;
-}
 
-async fn ask(node: Rc<Node>, member: Member, claim: Claim) -> Option<Reply> {
-    if member.name == node.settings.instance.name {
-        return Some(reply(&node, claim));
-    }
-    let client = client(&node, &member.name).await?;
-    let call = client.claim(context::current(), convert_claims::claim(claim));
-    match compio::time::timeout(CALL_TIMEOUT, call).await {
-        Ok(Ok(reply)) => Some(convert_claims::reply(reply)),
-        Ok(Err(_)) | Err(_) => {
-            forget(&node, &member.name);
-            None
-        }
+    /// Takes in how the request of a claim ended, as one of its holders.
+    pub fn settled(&self, claim: &Claim, settled: Settled) {
+        let mut holder = self.holder.borrow_mut();
+        holder.settle(&claim.key, &claim.id, settled);
     }
-}
 
-async fn tell(node: Rc<Node>, member: Member, claim: Claim, end: Settled) {
-    if member.name == node.settings.instance.name {
-        settled(&node, &claim, end);
-    } else {
-        for _ in 0..SETTLE_ATTEMPTS {
-            let Some(client) = client(&node, &member.name).await else {
-                continue;
-            };
-            let end = convert_claims::end(end.clone());
-            let call = client.settle(
-                context::current(),
-                convert_claims::claim(claim.clone()),
-                end,
-            );
-            match compio::time::timeout(CALL_TIMEOUT, call).await {
-                Ok(Ok(_)) => break,
-                Ok(Err(_)) | Err(_) => forget(&node, &member.name),
-            }
-        }
+    /// All claims, for a new holder.
+    pub fn records(&self) -> Option<Vec<Record>> {
+        self.refresh();
+        self.holder.borrow().records(self.known.now())
     }
-}
 
-/// Takes the claims of all other entries over that know all claims on their keys.
-async fn take_over(node: &Rc<Node>) {
-    let others: Vec<Box<str>> = {
-        let ring = node.claims.ring.borrow();
-        let others = ring.members().map(|member| member.name.clone());
-        others
-            .filter(|name| *name != node.settings.instance.name)
-            .collect()
-    };
-    for name in others {
-        let Some(client) = client(node, &name).await else {
-            continue;
-        };
-        let call = client.claims(context::current());
-        match compio::time::timeout(CALL_TIMEOUT * 4, call).await {
-            Ok(Ok(Some(records))) => {
-                let records = records.into_iter().map(convert_claims::record).collect();
-                let mut holder = node.claims.holder.borrow_mut();
-                holder.take(node.now(), &name, records);
-            }
-            Ok(Ok(None)) => {}
-            Ok(Err(_)) | Err(_) => forget(node, &name),
-        }
+    /// Whether the process that made a claim is still known.
+    pub fn present(&self, id: &ClaimId) -> bool {
+        let ring = self.ring.borrow();
+        ring.member(&id.claimant)
+            .is_some_and(|member| member.incarnation == id.incarnation)
     }
-}
 
-/// Asks the stores whether any document was ever in force; returns whether one of them knew.
-///
-/// If there was none, no request can have run, and this entry has missed no claim.
-pub async fn ask_unused(node: &Rc<Node>) -> bool {
-    let stores: BTreeSet<SocketAddr> = {
-        let members = node.members.borrow();
-        let stores = members.iter().filter(|member| member.store);
-        let stores = stores.map(|member| member.inner);
-        stores.chain(node.settings.seeds.iter().copied()).collect()
-    };
-    for address in stores {
-        let Some(client) = connect(node, address).await else {
-            continue;
+    /// Asks the stores whether any document was ever in force; returns whether one of them knew.
+    ///
+    /// If there was none, no request can have run, and this entry has missed no claim.
+    pub async fn ask_unused(&self) -> bool {
+        let stores: BTreeSet<SocketAddr> = {
+            let members = self.known.members.borrow();
+            let stores = members.iter().filter(|member| member.store);
+            let stores = stores.map(|member| member.inner);
+            stores.chain(self.seeds.iter().copied()).collect()
         };
-        let call = client.unused(context::current());
-        match compio::time::timeout(CALL_TIMEOUT, call).await {
-            Ok(Ok(Some(unused))) => {
+        for address in stores {
+            let unused = self
+                .clients
+                .call_at(address, CALL_TIMEOUT, async |client, context| {
+                    client.unused(context).await
+                });
+            if let Some(Some(unused)) = unused.await {
                 if unused {
-                    node.claims.holder.borrow_mut().first();
+                    self.holder.borrow_mut().first();
                 }
                 return true;
             }
-            Ok(Ok(None)) => {}
-            Ok(Err(_)) | Err(_) => {
-                node.claims.clients.borrow_mut().remove(&address);
-            }
         }
+        false
     }
-    false
-}
 
-fn address(node: &Node, name: &str) -> Option<SocketAddr> {
-    let members = node.members.borrow();
-    let member = members.iter().find(|member| &*member.name == name)?;
-    Some(member.inner)
-}
-
-async fn client(node: &Node, name: &str) -> Option<Client> {
-    let address = address(node, name)?;
-    connect(node, address).await
-}
+    fn refresh(&self) {
+        let configuration = self.known.configuration.borrow();
+        let members = self.known.members.borrow();
+        let own = Member {
+            centre: self.instance.centre.clone(),
+            incarnation: members.own().incarnation,
+            name: self.instance.name.clone(),
+        };
+        let others = members
+            .iter()
+            .filter(|member| member.requests.is_some())
+            .map(|member| Member {
+                centre: member.centre.clone(),
+                incarnation: member.incarnation,
+                name: member.name.clone(),
+            });
+        let ring = self.ring.borrow().with_members(others.chain([own]));
+        if self.opened.get().is_none() && configuration.revision() > 0 {
+            self.opened.set(Some(self.known.now()));
+        }
+        let mut holder = self.holder.borrow_mut();
+        holder.retain(configuration.retention());
+        holder.view(self.known.now(), ring.clone());
+        *self.ring.borrow_mut() = ring;
+    }
 
-async fn connect(node: &Node, address: SocketAddr) -> Option<Client> {
-    let known = node.claims.clients.borrow().get(&address).cloned();
-    if known.is_some() {
-        return known;
+    async fn ask(self: Rc<Self>, member: Member, claim: Claim) -> Option<Reply> {
+        if member.name == self.instance.name {
+            return Some(self.reply(claim));
+        }
+        let claim = convert_claims::claim(claim);
+        let reply = self
+            .clients
+            .call(&member.name, CALL_TIMEOUT, async |client, context| {
+                client.claim(context, claim).await
+            });
+        reply.await.map(convert_claims::reply)
     }
-    match compio::time::timeout(CALL_TIMEOUT, wire::connect(address)).await {
-        Ok(Ok(client)) => {
-            let mut clients = node.claims.clients.borrow_mut();
-            clients.insert(address, client.clone());
-            Some(client)
+
+    async fn tell(self: Rc<Self>, member: Member, claim: Claim, settled: Settled) {
+        if member.name == self.instance.name {
+            return self.settled(&claim, settled);
+        }
+        let claim = convert_claims::claim(claim);
+        let end = convert_claims::end(settled);
+        for _ in 0..SETTLE_ATTEMPTS {
+            let told = self
+                .clients
+                .call(&member.name, CALL_TIMEOUT, async |client, context| {
+                    client.settle(context, claim.clone(), end.clone()).await
+                });
+            if told.await.is_some() {
+                break;
+            }
         }
-        Ok(Err(_)) | Err(_) => None,
     }
-}
 
-fn forget(node: &Node, name: &str) {
-    if let Some(address) = address(node, name) {
-        node.claims.clients.borrow_mut().remove(&address);
+    /// Takes the claims of all other entries over that know all claims on their keys.
+    async fn take_over(&self) {
+        let others: Vec<Box<str>> = {
+            let ring = self.ring.borrow();
+            let others = ring.members().map(|member| member.name.clone());
+            others.filter(|name| *name != self.instance.name).collect()
+        };
+        for name in others {
+            let records = self
+                .clients
+                .call(&name, RECORDS_TIMEOUT, async |client, context| {
+                    client.claims(context).await
+                });
+            if let Some(Some(records)) = records.await {
+                let records = records.into_iter().map(convert_claims::record).collect();
+                let mut holder = self.holder.borrow_mut();
+                holder.take(self.known.now(), &name, records);
+            }
+        }
     }
 }
--- a/crates/daemon/src/connections.rs
+++ b/crates/daemon/src/connections.rs
@@ -9,9 +9,15 @@
 
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
-use hyper::client::conn::http1::handshake;
+use hyper::client::conn::http1::{
+    SendRequest,
+    handshake, //
+};
+
+use crate::upload::Upload;
 
-use crate::tracked::Sender;
+/// The connection that a request is sent on.
+pub type Sender = SendRequest<Upload>;
 
 /// Most idle connections kept to one endpoint.
 const IDLE_CONNECTIONS: usize = 32;
@@ -23,11 +29,6 @@
 }
 
 impl Connections {
-    /// Creates an empty pool.
-    pub fn new() -> Self {
-        Self::default()
-    }
-
     /// Takes an idle connection that is still open.
     pub fn take(&self, address: SocketAddr) -> Option<Sender> {
         let mut idle = self.idle.borrow_mut();
--- a/crates/daemon/src/datagrams.rs
+++ b/crates/daemon/src/datagrams.rs
@@ -51,9 +51,9 @@
 pub async fn beat(node: Rc<Node>) {
     loop {
         let now = node.now();
-        let actions = node.members.borrow_mut().handle(now, Event::Tick);
+        let actions = node.known.members.borrow_mut().handle(now, Event::Tick);
         act(&node, &actions).await;
-        node.directory.borrow_mut().tick(now);
+        node.known.directory.borrow_mut().tick(now);
         follow_members(&node);
         flush(&node).await;
         observe(&node);
@@ -63,7 +63,11 @@
 
 /// Tells the other instances of a planned stop.
 pub async fn leave(node: &Node) {
-    let actions = node.members.borrow_mut().handle(node.now(), Event::Leave);
+    let actions = node
+        .known
+        .members
+        .borrow_mut()
+        .handle(node.now(), Event::Leave);
     act(node, &actions).await;
 }
 
@@ -74,10 +78,11 @@
 /// Those of [`Directory::announce`](directory::Directory::announce).
 pub async fn announce(node: &Node, announcement: Announcement) -> Result<EndpointKey, Code> {
     let report = Report::new(convert_endpoint::endpoint(announcement));
-    let taken =
-        node.relay
-            .borrow_mut()
-            .announce(node.now(), &mut node.directory.borrow_mut(), report);
+    let taken = node.relay.borrow_mut().announce(
+        node.now(),
+        &mut node.known.directory.borrow_mut(),
+        report,
+    );
     flush(node).await;
     taken
 }
@@ -87,15 +92,18 @@
     match Datagram::decode(bytes) {
         Ok(Datagram::Batch(batch)) => {
             let batch = convert_endpoint::batch(batch);
-            node.relay
-                .borrow_mut()
-                .receive(now, &mut node.directory.borrow_mut(), from, batch);
+            node.relay.borrow_mut().receive(
+                now,
+                &mut node.known.directory.borrow_mut(),
+                from,
+                batch,
+            );
             flush(node).await;
         }
         Ok(Datagram::Member(message)) => {
             let message = Box::new(convert_member::message(message));
             let event = Event::Received { from, message };
-            let actions = node.members.borrow_mut().handle(now, event);
+            let actions = node.known.members.borrow_mut().handle(now, event);
             act(node, &actions).await;
         }
         Err(error) => {
@@ -116,7 +124,7 @@
     let batches = node
         .relay
         .borrow_mut()
-        .flush(node.now(), &node.directory.borrow());
+        .flush(node.now(), &node.known.directory.borrow());
     for (to, batch) in batches {
         let batch = convert_endpoint::sent_batch(&batch);
         send(node, to, &Datagram::Batch(batch)).await;
@@ -139,7 +147,7 @@
 
 /// Passes announcements on to the members that are present now.
 fn follow_members(node: &Node) {
-    let peers = peers(&node.members.borrow());
+    let peers = peers(&node.known.members.borrow());
     node.relay.borrow_mut().set_peers(node.now(), peers);
 }
 
@@ -156,8 +164,8 @@
 
 fn observe(node: &Node) {
     let count = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
-    let endpoints = node.directory.borrow().iter().count();
-    let instances = node.members.borrow().iter().count();
+    let endpoints = node.known.directory.borrow().iter().count();
+    let instances = node.known.members.borrow().iter().count();
     node.metrics.endpoints.set(count(endpoints));
     node.metrics.instances.set(count(instances));
 }
--- a/crates/daemon/src/endpoints.rs
+++ b/crates/daemon/src/endpoints.rs
@@ -9,7 +9,7 @@
 
 /// The endpoints under a lease, in the order of their names.
 pub fn page(node: &Node) -> Vec<Announcement> {
-    let directory = node.directory.borrow();
+    let directory = node.known.directory.borrow();
     let mut endpoints: Vec<_> = directory
         .iter()
         .map(|(_, endpoint)| convert_endpoint::announcement(endpoint))
--- a/crates/daemon/src/fabric.rs
+++ b/crates/daemon/src/fabric.rs
@@ -90,11 +90,11 @@
     scratch: &mut Vec<u8>,
 ) -> Result<Option<Step>, Code> {
     // After a pause this may run before the next tick.
-    node.directory.borrow_mut().catch_up(node.now());
+    node.known.directory.borrow_mut().catch_up(node.now());
     if FlowDatagram::recognises(datagram) {
         return take_flows(node, datagram, from, scratch);
     }
-    let action = node.router.borrow_mut().packet(node, datagram)?;
+    let action = node.router.borrow_mut().packet(datagram)?;
     let received = Received {
         offset: 0,
         sender: from,
@@ -119,7 +119,7 @@
         }
         FlowDatagram::Handover(handover, packet) => {
             let header = convert::header(&handover);
-            let action = router.handed(node, entry, header, packet)?;
+            let action = router.handed(entry, header, packet)?;
             drop(router);
             let received = Received {
                 offset: datagram.len() - packet.len(),
--- a/crates/daemon/src/flows.rs
+++ b/crates/daemon/src/flows.rs
@@ -75,7 +75,7 @@
             router.machine.unsettle(now);
         }
         *last = now;
-        router.refresh(node);
+        router.refresh();
         router.machine.tick(now, &mut copies);
         node.metrics
             .flows
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -114,7 +114,7 @@
         let changed = match followed.delta {
             Some(delta) => {
                 let change = convert_change::delta(delta);
-                self.node.configuration.borrow().prepare(change)
+                self.node.known.configuration.borrow().prepare(change)
             }
             None => Ok(None),
         };
@@ -202,11 +202,11 @@
     };
     loop {
         let listener = node.changed.listen();
-        let revision = node.configuration.borrow().revision();
+        let revision = node.known.configuration.borrow().revision();
         let update = replicated::update(&replica.borrow(), revision);
         let next = update.map(|update| {
             let change = convert_change::update(update);
-            node.configuration.borrow().prepare(change)
+            node.known.configuration.borrow().prepare(change)
         });
         match next {
             Some(Ok(Some(next))) => take(&node, next),
@@ -222,7 +222,7 @@
 
 fn take(node: &Node, next: Prepared) {
     let revision = next.revision();
-    if !node.configuration.borrow_mut().apply(next) {
+    if !node.known.configuration.borrow_mut().apply(next) {
         return;
     }
     let gauge = i64::try_from(revision).unwrap_or(i64::MAX);
--- a/crates/daemon/src/inner.rs
+++ b/crates/daemon/src/inner.rs
@@ -29,7 +29,6 @@
 };
 
 use crate::{
-    claims,
     convert_claims,
     node::Node,
     proposals,
@@ -66,11 +65,11 @@
 
     async fn claim(self, _: Context, claim: Claim) -> ClaimReply {
         let claim = convert_claims::received(claim);
-        convert_claims::replied(claims::reply(&self.node, claim))
+        convert_claims::replied(self.node.claims.reply(claim))
     }
 
     async fn claims(self, _: Context) -> Option<Vec<ClaimRecord>> {
-        let records = claims::records(&self.node)?;
+        let records = self.node.claims.records()?;
         Some(records.into_iter().map(convert_claims::recorded).collect())
     }
 
@@ -109,7 +108,7 @@
 
     async fn settle(self, _: Context, claim: Claim, end: ClaimEnd) -> bool {
         let claim = convert_claims::received(claim);
-        claims::settled(&self.node, &claim, convert_claims::ended(end));
+        self.node.claims.settled(&claim, convert_claims::ended(end));
         true
     }
 
--- a/crates/daemon/src/job.rs
+++ b/crates/daemon/src/job.rs
@@ -84,7 +84,7 @@
         let name = host(&parts.headers)?;
         framing(&parts.headers)?;
         let (service, limit, default) = {
-            let configuration = node.configuration.borrow();
+            let configuration = node.known.configuration.borrow();
             let service = configuration.by_host(&name).ok_or(Code::RequestService)?;
             let default = Duration::from_millis(service.requests.deadline_ms);
             (service.name.clone(), service.limits.body_bytes, default)
--- a/crates/daemon/src/keyed.rs
+++ b/crates/daemon/src/keyed.rs
@@ -22,18 +22,16 @@
 use hyper::Response;
 
 use crate::{
+    answer::Answer,
     attempt,
-    claims,
     job::Job,
     node::Node,
-    pending::Pending,
-    recorder::{
-        Answer,
-        Recorder, //
-    },
+    recorder::Recorder,
     refused::Refused,
-    requests,
-    tracked::Tracked, //
+    tracked::{
+        AnswerBody,
+        Tracked, //
+    },
 };
 
 /// Pause until the holders are asked again for a key that another claim holds.
@@ -48,15 +46,15 @@
     node: &Rc<Node>,
     job: Job,
     key: KeyHash,
-) -> Result<Response<requests::AnswerBody>, Refused> {
+) -> Result<Response<AnswerBody>, Refused> {
     let print = job.print();
     let began = node.now();
     // A claim is forgotten after the retention time, so it has to be used well before.
-    let valid = node.configuration.borrow().retention() / 2;
+    let valid = node.known.configuration.borrow().retention() / 2;
     loop {
         // A claim that was given up is never made again: its release may still be under way.
-        let claim = claims::new(node, key.clone(), print);
-        let verdict = claims::claim(node, &claim).await;
+        let claim = node.claims.new_claim(key.clone(), print);
+        let verdict = node.claims.claim(&claim).await;
         let late = node.now().saturating_sub(began) >= valid;
         let code = match verdict {
             Verdict::Answered(bytes) => match Answer::response(&bytes) {
@@ -68,9 +66,9 @@
             Verdict::Granted => return run(node, job, claim).await,
             Verdict::Held(id) => {
                 // What was granted is given back, so that one of several claimants gets enough.
-                claims::settle(node, &claim, Settled::NotRun);
+                node.claims.settle(&claim, &Settled::NotRun);
                 let pause = JOIN_PAUSE.mul_f64(rand::random_range(0.5..1.5));
-                if node.now() + pause >= job.deadline || !claims::present(node, &id) {
+                if node.now() + pause >= job.deadline || !node.claims.present(&id) {
                     return Err(Code::KeyUnknown.into());
                 }
                 compio::time::sleep(pause).await;
@@ -80,7 +78,7 @@
             Verdict::Ran => Code::KeyAnswered,
             Verdict::Unknown => Code::KeyUnknown,
         };
-        claims::settle(node, &claim, Settled::NotRun);
+        node.claims.settle(&claim, &Settled::NotRun);
         return Err(code.into());
     }
 }
@@ -91,16 +89,16 @@
     node: &Rc<Node>,
     job: Job,
     claim: dispatch::Claim,
-) -> Result<Response<requests::AnswerBody>, Refused> {
+) -> Result<Response<AnswerBody>, Refused> {
     let (sender, receiver) = oneshot::channel::<Result<Response<Tracked>, Refused>>();
     let own = node.clone();
     compio::runtime::spawn(async move {
-        let _pending = Pending::new(own.clone());
+        let _pending = own.claims.pending();
         let result = attempt::run(&own, job).await;
         let result = result.map(|mut response| {
             crate::job::strip(response.headers_mut());
             let (status, headers) = (response.status(), response.headers().clone());
-            let recorder = Recorder::new(own.clone(), claim.clone(), status, &headers);
+            let recorder = Recorder::new(own.claims.clone(), claim.clone(), status, &headers);
             response.map(|body| body.with_recorder(recorder).settled())
         });
         if let Err(refused) = &result {
@@ -108,7 +106,7 @@
                 Run::Not => Settled::NotRun,
                 Run::May | Run::Ran => Settled::Unknown,
             };
-            claims::settle(&own, &claim, settled);
+            own.claims.settle(&claim, &settled);
         }
         if let Err(Ok(response)) = sender.send(result) {
             response.into_body().drain().await;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,10 +5,13 @@
 //! sockets, the disk and the clock.
 
 mod admin;
+mod answer;
 mod around;
 mod attempt;
 mod auth;
+mod candidates;
 mod claims;
+mod clients;
 mod connections;
 mod convert;
 mod convert_change;
@@ -26,6 +29,7 @@
 mod inner;
 mod job;
 mod keyed;
+mod known;
 mod links;
 mod listeners;
 mod logs;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -8,17 +8,12 @@
     rc::Rc,
     time::{
         Duration,
-        Instant,
         SystemTime, //
     },
 };
 
 use compio::net::UdpSocket;
-use configuration::Configuration;
-use directory::{
-    Directory,
-    Relay, //
-};
+use directory::Relay;
 use event_listener::Event;
 use membership::Members;
 use process::Stop;
@@ -37,6 +32,7 @@
     connections::Connections,
     convert_member,
     error::Error,
+    known::Known,
     metrics::Metrics,
     router::Router,
     services::Services,
@@ -53,17 +49,13 @@
     /// Notified when the replica has changed.
     pub changed: Event,
     /// This entry's part in the claims on idempotency keys.
-    pub claims: Claims,
-    /// The document in force.
-    pub configuration: RefCell<Configuration>,
+    pub claims: Rc<Claims>,
     /// Idle connections to endpoints.
-    pub connections: Connections,
-    /// The endpoints.
-    pub directory: RefCell<Directory>,
+    pub connections: Rc<Connections>,
     /// The requests that run.
-    pub dispatch: RefCell<Services>,
-    /// The other instances.
-    pub members: RefCell<Members>,
+    pub dispatch: Rc<Services>,
+    /// What the instance knows of its deployment.
+    pub known: Rc<Known>,
     /// The metrics.
     pub metrics: Metrics,
     /// What passes announcements on.
@@ -80,7 +72,6 @@
     pub spread: Spread,
     /// The planned stop.
     pub stop: Rc<Stop>,
-    start: Instant,
 }
 
 impl Node {
@@ -99,7 +90,6 @@
             None => (None, None),
         };
         let incarnation = epoch_millis();
-        let router = Router::new(&settings.instance, incarnation);
         let own = wire::Instance {
             addresses,
             centre: settings.instance.centre.clone(),
@@ -110,24 +100,25 @@
         };
         let own = convert_member::instance(own);
         let members = Members::new(own, &settings.seeds, rand::random());
+        let known = Rc::new(Known::new(members));
+        let metrics = Metrics::new();
+        let claims = Claims::new(known.clone(), &settings, metrics.claims.clone());
+        let router = Router::new(known.clone(), &settings.instance);
         let node = Self {
             addresses,
             auth: Auth::open(&settings)?,
             changed: Event::new(),
-            claims: Claims::new(&settings.instance.name),
-            configuration: RefCell::new(Configuration::new()),
-            connections: Connections::new(),
-            directory: RefCell::new(Directory::new()),
-            dispatch: RefCell::new(Services::new()),
-            members: RefCell::new(members),
-            metrics: Metrics::new(),
+            claims: Rc::new(claims),
+            connections: Rc::default(),
+            dispatch: Rc::new(Services::new(known.clone())),
+            known,
+            metrics,
             relay: RefCell::new(Relay::new()),
             replica,
             router: RefCell::new(router),
             settings,
             socket: OnceCell::new(),
             spread: Spread::default(),
-            start: Instant::now(),
             stop: Rc::default(),
         };
         Ok((node, folder))
@@ -135,19 +126,19 @@
 
     /// Time since the process started.
     pub fn now(&self) -> Duration {
-        self.start.elapsed()
+        self.known.now()
     }
 
     /// The instance as others are told of it.
     pub fn describe(&self) -> wire::Instance {
-        convert_member::described(self.members.borrow().own())
+        convert_member::described(self.known.members.borrow().own())
     }
 
     /// Whether the instance can serve: it has a document in force that a quorum of the stores
     /// confirmed after its start, and is not stopping.
     pub fn ready(&self) -> bool {
         let stored = self.replica.is_some();
-        let revision = self.configuration.borrow().revision();
+        let revision = self.known.configuration.borrow().revision();
         let confirmed = self.spread.follower.borrow().confirmed();
         (stored || (confirmed && revision > 0)) && !self.stop.begun()
     }
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -104,10 +104,10 @@
 pub async fn watch(node: &Node, uri: &Uri) -> InForce {
     let revision = value(uri, "revision").and_then(|text| text.parse().ok());
     let listener = node.spread.updated.listen();
-    if node.configuration.borrow().revision() <= revision.unwrap_or_default() {
+    if node.known.configuration.borrow().revision() <= revision.unwrap_or_default() {
         let _notified = compio::time::timeout(WATCH_WAIT, listener).await;
     }
-    let configuration = node.configuration.borrow();
+    let configuration = node.known.configuration.borrow();
     InForce {
         revision: configuration.revision(),
         sections: convert_change::texts(&configuration),
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -3,16 +3,12 @@
 use std::rc::Rc;
 
 use codes::Code;
-use http_body_util::{
-    Either,
-    Full, //
-};
+use http_body_util::Either;
 use hyper::{
-    Request, Response, StatusCode,
-    body::{
-        Bytes,
-        Incoming, //
-    },
+    Request,
+    Response,
+    StatusCode,
+    body::Incoming, //
 };
 use process::Handler;
 
@@ -27,12 +23,9 @@
     node::Node,
     refusal::Refusal,
     refused::Refused,
-    tracked::Tracked, //
+    tracked::AnswerBody, //
 };
 
-/// Body of an answer: an endpoint's, or one that this entry holds whole.
-pub type AnswerBody = Either<Tracked, Full<Bytes>>;
-
 /// Answers callers.
 #[derive(Clone, Debug)]
 pub struct Requests {
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
+    rc::Rc,
     time::Duration, //
 };
 
@@ -27,7 +28,7 @@
 
 use crate::{
     convert,
-    node::Node,
+    known::Known,
     reach::Reach, //
 };
 
@@ -43,6 +44,7 @@
     entries: HashMap<SocketAddr, InstanceId>,
     /// Addresses of the other entries' faces towards the fabric.
     faces: HashMap<InstanceId, SocketAddr>,
+    known: Rc<Known>,
     /// The decisions.
     pub machine: Owners,
     /// Revision of the document and generation of the directory that the rest was made from.
@@ -54,11 +56,11 @@
 
 impl Router {
     /// Creates the steering of an instance that knows nobody yet.
-    pub fn new(instance: &Instance, incarnation: u64) -> Self {
+    pub fn new(known: Rc<Known>, instance: &Instance) -> Self {
         let own = Peer {
             centre: centre(&instance.centre),
             id: InstanceId::new(&instance.name),
-            incarnation,
+            incarnation: known.incarnation(),
             leaving: false,
             reachable: true,
         };
@@ -66,6 +68,7 @@
             addresses: HashMap::new(),
             entries: HashMap::new(),
             faces: HashMap::new(),
+            known,
             machine: Owners::new(Duration::ZERO, own, FLOWS, rand::random()),
             made: (0, 0),
             reach: Reach::default(),
@@ -74,11 +77,11 @@
     }
 
     /// Takes in what the instance knows of endpoints, services and other entries.
-    pub fn refresh(&mut self, node: &Node) {
-        let now = node.now();
-        self.made = made(node);
-        self.learn_entries(node, now);
-        self.learn_endpoints(node, now);
+    pub fn refresh(&mut self) {
+        let now = self.known.now();
+        self.made = self.latest();
+        self.learn_entries(now);
+        self.learn_endpoints(now);
     }
 
     /// Decides on a datagram from the fabric.
@@ -86,16 +89,16 @@
     /// # Errors
     ///
     /// The code of a packet that belongs to no flow of a service.
-    pub fn packet(&mut self, node: &Node, datagram: &[u8]) -> Result<Action<Header>, Code> {
-        if self.made != made(node) {
-            self.refresh(node);
+    pub fn packet(&mut self, datagram: &[u8]) -> Result<Action<Header>, Code> {
+        if self.made != self.latest() {
+            self.refresh();
         }
         let arrival = self.arrival(datagram)?;
-        let action = self.machine.packet(node.now(), &arrival);
+        let action = self.machine.packet(self.known.now(), &arrival);
         if let Action::Pass(to, header) = action
             && header.returns
         {
-            self.reach.asked(node.now(), to);
+            self.reach.asked(self.known.now(), to);
         }
         Ok(action)
     }
@@ -107,16 +110,17 @@
     /// The code of a packet that belongs to no flow of a service.
     pub fn handed(
         &mut self,
-        node: &Node,
         from: InstanceId,
         header: Header,
         datagram: &[u8],
     ) -> Result<Action<Header>, Code> {
-        if self.made != made(node) {
-            self.refresh(node);
+        if self.made != self.latest() {
+            self.refresh();
         }
         let arrival = self.arrival(datagram)?;
-        Ok(self.machine.handed(node.now(), from, &arrival, header))
+        Ok(self
+            .machine
+            .handed(self.known.now(), from, &arrival, header))
     }
 
     /// The entry that sent a datagram from an address.
@@ -136,6 +140,12 @@
         self.addresses.get(&endpoint).copied()
     }
 
+    /// What the router is made from changes when one of these does.
+    fn latest(&self) -> (u64, u64) {
+        let revision = self.known.configuration.borrow().revision();
+        (revision, self.known.directory.borrow().generation())
+    }
+
     fn arrival(&self, datagram: &[u8]) -> Result<Arrival, Code> {
         let payload = Payload::new(datagram).map_err(steering::Error::code)?;
         let packet = Packet::parse(payload.0).map_err(steering::Error::code)?;
@@ -147,8 +157,8 @@
         })
     }
 
-    fn learn_entries(&mut self, node: &Node, now: Duration) {
-        let members = node.members.borrow();
+    fn learn_entries(&mut self, now: Duration) {
+        let members = self.known.members.borrow();
         let entries = || {
             members
                 .all()
@@ -174,9 +184,9 @@
         self.machine.peers(now, &peers);
     }
 
-    fn learn_endpoints(&mut self, node: &Node, now: Duration) {
-        let configuration = node.configuration.borrow();
-        let directory = node.directory.borrow();
+    fn learn_endpoints(&mut self, now: Duration) {
+        let configuration = self.known.configuration.borrow();
+        let directory = self.known.directory.borrow();
         self.addresses.clear();
         self.services.clear();
         let mut endpoints = Vec::new();
@@ -210,9 +220,3 @@
 fn centre(name: &str) -> u64 {
     ServiceId::new(name).0
 }
-
-/// What the router is made from changes when one of these does.
-fn made(node: &Node) -> (u64, u64) {
-    let revision = node.configuration.borrow().revision();
-    (revision, node.directory.borrow().generation())
-}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -31,7 +31,6 @@
 use crate::{
     admin::Admin,
     around,
-    claims,
     datagrams,
     error::Error,
     exit::Exit,
@@ -137,9 +136,9 @@
     spawn(stop_on_signal(node.clone(), signals)).detach();
     let admin = process::serve(node.stop.clone(), listeners.admin, Admin::new(node.clone()));
     let admin = spawn(admin);
-    let asked = listeners.faces.is_some() && claims::ask_unused(&node).await;
+    let asked = listeners.faces.is_some() && node.claims.ask_unused().await;
     let callers = listeners.faces.map(|faces| {
-        spawn(claims::maintain(node.clone(), asked)).detach();
+        spawn(node.claims.clone().maintain(asked)).detach();
         let fabric = Rc::new(faces.fabric);
         spawn(fabric::forward(node.clone(), fabric.clone())).detach();
         let flows = spawn(flows::tend(node.clone(), fabric));
--- a/crates/daemon/src/slot.rs
+++ b/crates/daemon/src/slot.rs
@@ -15,11 +15,10 @@
 use futures::channel::oneshot::Receiver;
 
 use crate::{
-    node::Node,
     refused::Refused,
     services::{
-        self,
-        Placed, //
+        Placed,
+        Services, //
     },
 };
 
@@ -28,8 +27,8 @@
 #[derive(Debug)]
 pub struct Slot {
     live: bool,
-    node: Rc<Node>,
     service: Box<str>,
+    services: Rc<Services>,
     ticket: Ticket,
 }
 
@@ -40,18 +39,18 @@
     ///
     /// The refusal of the pool; the request did not run.
     pub async fn admit(
-        node: &Rc<Node>,
+        services: &Rc<Services>,
         service: &str,
         deadline: Duration,
     ) -> Result<(Self, EndpointKey), Refused> {
-        let ticket = node.dispatch.borrow_mut().ticket();
+        let ticket = services.ticket();
         let mut slot = Self {
             live: true,
-            node: node.clone(),
             service: service.into(),
+            services: services.clone(),
             ticket,
         };
-        let placed = services::arrive(node, service, ticket, deadline);
+        let placed = services.arrive(service, ticket, deadline);
         let key = slot.placed(placed).await?;
         Ok((slot, key))
     }
@@ -62,10 +61,12 @@
     ///
     /// The refusal of the pool; the request did not run.
     pub async fn again(&mut self, outcome: Outcome) -> Result<EndpointKey, Refused> {
-        let placed = services::wait(&self.node, self.ticket);
+        let placed = self.services.wait(self.ticket);
         let ticket = self.ticket;
-        services::refresh(&self.node, &self.service, outcome == Outcome::Unreachable);
-        services::give(&self.node, &self.service, Event::Ended { outcome, ticket });
+        self.services
+            .refresh(&self.service, outcome == Outcome::Unreachable);
+        self.services
+            .give(&self.service, Event::Ended { outcome, ticket });
         self.placed(placed).await
     }
 
@@ -74,8 +75,8 @@
         let live = std::mem::take(&mut self.live);
         Self {
             live,
-            node: self.node.clone(),
             service: self.service.clone(),
+            services: self.services.clone(),
             ticket: self.ticket,
         }
     }
@@ -87,7 +88,8 @@
         }
         self.live = false;
         let ticket = self.ticket;
-        services::give(&self.node, &self.service, Event::Ended { outcome, ticket });
+        self.services
+            .give(&self.service, Event::Ended { outcome, ticket });
     }
 
     async fn placed(&mut self, receiver: Receiver<Placed>) -> Result<EndpointKey, Refused> {
@@ -102,7 +104,7 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         if self.live {
-            services::leave(&self.node, &self.service, self.ticket);
+            self.services.leave(&self.service, self.ticket);
         }
     }
 }
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -34,9 +34,10 @@
 /// Describes the instance and those that it knows.
 pub fn page(node: &Node) -> Status {
     Status {
-        endpoints: node.directory.borrow().iter().count(),
+        endpoints: node.known.directory.borrow().iter().count(),
         instance: node.describe(),
         instances: node
+            .known
             .members
             .borrow()
             .iter()
@@ -48,8 +49,8 @@
             .map(|replica| replicated::members(&replica.borrow(), node.now())),
         ready: node.ready(),
         refusals: node.metrics.refused(),
-        revision: node.configuration.borrow().revision(),
-        running: node.dispatch.borrow().total(),
+        revision: node.known.configuration.borrow().revision(),
+        running: node.dispatch.total(),
         services: services(node),
         stopping: node.stop.begun(),
     }
@@ -60,6 +61,7 @@
 /// Those that do not answer within [`ANSWER_TIMEOUT`] are named as silent.
 pub async fn overview(node: &Node) -> Overview {
     let known: Vec<_> = node
+        .known
         .members
         .borrow()
         .all()
@@ -73,7 +75,7 @@
         .zip(answers)
         .map(|((instance, standing), status)| member(instance, standing, status))
         .collect();
-    let own = node.members.borrow().own().clone();
+    let own = node.known.members.borrow().own().clone();
     members.push(member(own, Standing::Alive, Some(page(node))));
     summarise(&node.settings.instance.name, members)
 }
@@ -127,7 +129,7 @@
 }
 
 fn services(node: &Node) -> Vec<ServiceStatus> {
-    let directory = node.directory.borrow();
+    let directory = node.known.directory.borrow();
     let now = node.now();
     let mut services = BTreeMap::new();
     let mut connections: BTreeMap<Box<str>, Vec<u32>> = BTreeMap::new();
--- a/crates/daemon/src/stores.rs
+++ b/crates/daemon/src/stores.rs
@@ -38,7 +38,7 @@
 /// The stores' inner addresses in the order in which this instance prefers them.
 pub fn ranked(node: &Node) -> Vec<SocketAddr> {
     let own = &node.settings.instance;
-    let members = node.members.borrow();
+    let members = node.known.members.borrow();
     let mut stores: Vec<_> = members
         .iter()
         .filter(|member| member.store)
--- a/crates/daemon/src/tracked.rs
+++ b/crates/daemon/src/tracked.rs
@@ -11,27 +11,30 @@
 };
 
 use dispatch::Outcome;
-use http_body_util::BodyExt;
-use hyper::{
-    body::{
-        Body,
-        Bytes,
-        Frame,
-        Incoming,
-        SizeHint, //
-    },
-    client::conn::http1::SendRequest, //
+use http_body_util::{
+    BodyExt,
+    Either,
+    Full, //
+};
+use hyper::body::{
+    Body,
+    Bytes,
+    Frame,
+    Incoming,
+    SizeHint, //
 };
 
 use crate::{
-    node::Node,
+    connections::{
+        Connections,
+        Sender, //
+    },
     recorder::Recorder,
-    slot::Slot,
-    upload::Upload, //
+    slot::Slot, //
 };
 
-/// The connection that a request was sent on.
-pub type Sender = SendRequest<Upload>;
+/// Body of an answer: an endpoint's, or one that this entry holds whole.
+pub type AnswerBody = Either<Tracked, Full<Bytes>>;
 
 /// An endpoint's response body with the slot and the connection of its request.
 ///
@@ -42,8 +45,8 @@
 pub struct Tracked {
     address: SocketAddr,
     body: Option<Incoming>,
+    connections: Rc<Connections>,
     recorder: Option<Recorder>,
-    node: Rc<Node>,
     sender: Option<Sender>,
     slot: Slot,
 }
@@ -51,7 +54,7 @@
 impl Tracked {
     /// Ties slot and connection to the body.
     pub fn new(
-        node: Rc<Node>,
+        connections: Rc<Connections>,
         slot: Slot,
         address: SocketAddr,
         sender: Sender,
@@ -60,8 +63,8 @@
         Self {
             address,
             body: Some(body),
+            connections,
             recorder: None,
-            node,
             sender: Some(sender),
             slot,
         }
@@ -87,7 +90,7 @@
         if let Some(sender) = self.sender.take()
             && outcome == Outcome::Answered
         {
-            self.node.connections.keep(self.address, sender);
+            self.connections.keep(self.address, sender);
         }
         if let Some(recorder) = self.recorder.take() {
             recorder.end(outcome);
@@ -144,7 +147,7 @@
         match (self.recorder.take(), self.sender.take()) {
             (Some(recorder), Some(sender)) => {
                 let slot = self.slot.hand_over();
-                let rest = Self::new(self.node.clone(), slot, self.address, sender, body);
+                let rest = Self::new(self.connections.clone(), slot, self.address, sender, body);
                 let rest = rest.with_recorder(recorder);
                 compio::runtime::spawn(rest.drain()).detach();
             }
