No circles between the files of wire, edge and placement

Cause: files that hold types and files that use them were one (the calls of the inner protocol and the types they carry; an entry's state and its run; a flow and its request).

Change: wire::edit and wire::document, edge::forward and edge::run_entry (run_store beside it), placement::request.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -15,6 +15,7 @@
 mod entry;
 mod error;
 mod follow;
+mod forward;
 mod frames;
 mod links;
 mod load_delta;
@@ -25,11 +26,12 @@
 mod ready;
 mod reload;
 mod run;
+mod run_entry;
+mod run_store;
 mod serve;
 mod settings;
 mod staleness;
 mod state;
-mod store;
 mod view;
 
 pub use crate::{
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -10,14 +10,12 @@
 
 use crate::{
     border::Border,
-    entry,
     error::Error,
-    logs,
+    logs, run_entry, run_store,
     settings::{
         Role,
         Settings, //
     },
-    store, //
 };
 
 /// Runs the process as its settings file says, with the words of a platform.
@@ -37,7 +35,7 @@
     let _log = logs::start()?;
     let runtime = Runtime::new().map_err(Error::Runtime)?;
     match settings.role {
-        Role::Entry => runtime.block_on(entry::serve::<B>(settings, path, handlers)),
-        Role::Store => runtime.block_on(store::serve::<B>(settings, path, handlers)),
+        Role::Entry => runtime.block_on(run_entry::serve::<B>(settings, path, handlers)),
+        Role::Store => runtime.block_on(run_store::serve::<B>(settings, path, handlers)),
     }
 }
--- a/crates/placement/src/endpoint.rs
+++ b/crates/placement/src/endpoint.rs
@@ -6,9 +6,9 @@
 };
 
 use crate::{
-    flow::Request,
     load::Load,
-    reference::Reference, //
+    reference::Reference,
+    request::Request, //
 };
 
 slotmap::new_key_type! {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -11,6 +11,7 @@
 mod load;
 mod pool;
 mod reference;
+mod request;
 
 pub use crate::{
     endpoint::{
@@ -19,14 +20,12 @@
         Phase,
         ServiceKey, //
     },
-    flow::{
-        FlowKey,
-        Progress, //
-    },
+    flow::FlowKey,
     load::Load,
     pool::{
         Pool,
         Target, //
     },
     reference::Reference,
+    request::Progress,
 };
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -20,11 +20,11 @@
     },
     flow::{
         Flow,
-        FlowKey,
-        Progress, //
+        FlowKey, //
     },
     load::Load,
-    reference::Reference, //
+    reference::Reference,
+    request::Progress, //
 };
 
 /// Flows that are kept at most: a flood of opening packets can't take more memory than this.
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -1,11 +1,5 @@
 //! The calls between instances.
 
-use codes::Code;
-use serde::{
-    Deserialize,
-    Serialize, //
-};
-
 use crate::{
     claim::{
         Claim,
@@ -13,6 +7,10 @@
         ClaimRecord,
         ClaimReply, //
     },
+    edit::{
+        Edit,
+        Outcome, //
+    },
     follow::{
         Follow,
         Followed, //
@@ -31,71 +29,6 @@
     },
 };
 
-/// An operator's edit of one section.
-#[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct Edit {
-    /// Who edits.
-    pub author: Box<str>,
-    /// Version of the section that the edit was made from; 0 for a new section.
-    pub base: u64,
-    /// Identifies the edit, so that it can be resent.
-    pub id: Box<str>,
-    /// Name of the section.
-    pub section: Box<str>,
-    /// The team whose key was used; none if every section may be edited.
-    #[serde(default)]
-    pub team: Option<Box<str>>,
-    /// Text of the section after the edit; empty to remove the section.
-    pub text: Box<str>,
-}
-
-/// What became of an edit.
-#[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Outcome {
-    /// It is synced to disk and will be in force everywhere.
-    Accepted {
-        /// Revision of the document.
-        revision: u64,
-        /// Version of the section.
-        version: u64,
-    },
-    /// It changed nothing.
-    Refused {
-        /// What is wrong, and where.
-        advice: Box<str>,
-        /// Why.
-        code: Code,
-        /// Version of the section in force.
-        version: u64,
-    },
-}
-
-/// A section's text and version.
-#[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
-pub struct SectionText {
-    /// Name of the section.
-    pub name: Box<str>,
-    /// Its text.
-    pub text: Box<str>,
-    /// Its version.
-    pub version: u64,
-}
-
-/// A whole document.
-#[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
-pub struct Update {
-    /// Revision of the document.
-    pub revision: u64,
-    /// All its sections.
-    pub sections: Vec<SectionText>,
-}
-
 /// Calls that an instance answers to other instances.
 #[tarpc::service]
 pub trait Inner {
--- a/crates/wire/src/follow.rs
+++ b/crates/wire/src/follow.rs
@@ -5,7 +5,7 @@
     Serialize, //
 };
 
-use crate::call::SectionText;
+use crate::document::SectionText;
 
 /// What a follower asks for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,8 @@
 mod codec;
 mod connection;
 mod datagram;
+mod document;
+mod edit;
 mod endpoint;
 mod error;
 mod follow;
@@ -21,15 +23,11 @@
 
 pub use crate::{
     call::{
-        Edit,
         Inner,
         InnerClient,
         InnerRequest,
         InnerResponse,
-        Outcome,
-        SectionText,
-        ServeInner,
-        Update, //
+        ServeInner, //
     },
     claim::{
         Claim,
@@ -50,6 +48,14 @@
         Route,
         Standing, //
     },
+    document::{
+        SectionText,
+        Update, //
+    },
+    edit::{
+        Edit,
+        Outcome, //
+    },
     endpoint::{
         Announcement,
         State, //
--- a/crates/wire/src/log.rs
+++ b/crates/wire/src/log.rs
@@ -8,7 +8,7 @@
     Serialize, //
 };
 
-use crate::call::{
+use crate::edit::{
     Edit,
     Outcome, //
 };
--- a/crates/wire/src/trail.rs
+++ b/crates/wire/src/trail.rs
@@ -5,7 +5,7 @@
     Serialize, //
 };
 
-use crate::call::Outcome;
+use crate::edit::Outcome;
 
 /// Which lines of the audit trail are read.
 #[derive(Clone, Debug, Eq, PartialEq)]
