Stores elect their first leader sooner, and at all when they are far apart

Cause: until a store had heard a leader it stood for election each 100 to 200 ms. Stores that are 80 ms apart began anew before the answers came, for ever.

Ruled out: the links between the stores as the main part of that wait; connecting back at once to a store that calls did not change it.

Change: the first wait is 30 ms and doubles with each election, up to the usual timeout. A store that refuses a pre-vote since its own log is longer stands soon again, so that the long wait of an early starter delays nobody.

--- a/crates/store/src/election.rs
+++ b/crates/store/src/election.rs
@@ -29,6 +29,7 @@
         if self.now < self.deadline {
             return;
         }
+        self.stood = self.stood.saturating_add(1);
         self.postpone();
         if self.log.members().votes(self.id) {
             self.canvass();
@@ -82,6 +83,11 @@
     /// Answers a pre-vote.
     pub(crate) fn pre_vote(&mut self, from: StoreId, last: Position, proposed: Term) {
         let granted = proposed > self.ballot.term && !self.led() && self.electable(last);
+        if !granted && self.heard.is_none() && last < self.log.last() {
+            // The asker runs and can't win, but may vote: this store stands soon again.
+            self.stood = 0;
+            self.postpone();
+        }
         self.send(from, Body::PreVoted { granted, proposed });
     }
 
--- a/crates/store/src/raft.rs
+++ b/crates/store/src/raft.rs
@@ -75,6 +75,8 @@
     pub(crate) random: ChaCha8Rng,
     pub(crate) role: Role,
     pub(crate) snapshot: Option<Encoded>,
+    /// Elections that it has stood for without hearing of a leader since its start.
+    pub(crate) stood: u32,
     pub(crate) timing: Timing,
     /// Last entry that a leader said is committed.
     pub(crate) leader_commit: Index,
@@ -114,6 +116,7 @@
             random,
             role: Role::Follower,
             snapshot: saved.snapshot,
+            stood: 0,
             timing,
             leader_commit: Index::default(),
         };
@@ -260,11 +263,14 @@
     }
 
     /// Draws the time of the next election: a store that has heard no leader since its start waits
-    /// for none to fall silent.
+    /// for none to fall silent, but longer after each election, for stores that are far apart.
     pub(crate) fn postpone(&mut self) {
         let wait = match self.heard {
             Some(_) => self.timing.election,
-            None => self.timing.first,
+            None => {
+                let doubled = self.timing.first.saturating_mul(1 << self.stood.min(16));
+                doubled.min(self.timing.election)
+            }
         };
         let spread = wait.mul_f64(self.random.random::<f64>());
         self.deadline = self.now + wait + spread;
--- a/crates/store/src/timing.rs
+++ b/crates/store/src/timing.rs
@@ -9,7 +9,8 @@
     /// between this and twice this. A leader steps down after this time without a quorum.
     pub election: Duration,
     /// The same for a store that has heard no leader since its start: a candidate asks before it
-    /// raises a term, so that an early one disturbs no leader.
+    /// raises a term, so that an early one disturbs no leader. Doubles with each election up to
+    /// `election`; a few ways between data centres of one region.
     pub first: Duration,
     /// Time between two heartbeats of a leader.
     pub heartbeat: Duration,
@@ -27,7 +28,7 @@
     fn default() -> Self {
         Self {
             election: Duration::from_millis(600),
-            first: Duration::from_millis(100),
+            first: Duration::from_millis(30),
             heartbeat: Duration::from_millis(100),
             patience: Duration::from_secs(8),
             snapshot: 4096,
