A store that calls is called back at once

Cause: stores talk on one connection each way. One that was tried while the other was dark waits out its timeout and pause (100 to 150 ms) before it tries again, although the other has already called; its votes wait as long.

Ruled out: the election's own waits; they are 30 to 60 ms now.

Change: a connection that a store opens ends the timeout and the pause of the way to it.

--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -9,7 +9,10 @@
     time::Duration, //
 };
 
-use compio::runtime::spawn;
+use compio::{
+    net::TcpStream,
+    runtime::spawn, //
+};
 use futures::future::{
     Either,
     select, //
@@ -49,27 +52,49 @@
     let mut lost = false;
     let mut backoff = Backoff::default();
     loop {
-        let Err(error) = session(&state, address, &mut lost, &mut backoff).await;
+        let called = match state.peers.borrow_mut().get_mut(address) {
+            Some(peer) => peer.called.clone(),
+            None => return,
+        };
+        let listener = called.listen();
+        let connecting = pin!(connect(address, backoff.connect_timeout()));
+        let error = match select(connecting, listener).await {
+            Either::Left((Ok(stream), _)) => {
+                backoff.succeed();
+                let Err(error) = session(&state, address, stream, &mut lost).await;
+                error
+            }
+            Either::Left((Err(error), _)) => error,
+            Either::Right(_) => {
+                // It runs: what was sent to it while it was dark is lost, so connect anew.
+                backoff.succeed();
+                continue;
+            }
+        };
         if !lost {
             log::info!(store = address.to_string(), reason = error.to_string(); "another store is not reached");
             lost = true;
         }
+        let listener = called.listen();
         match state.peers.borrow_mut().get_mut(address) {
             Some(peer) => peer.queue.clear(),
             None => return,
         }
-        compio::time::sleep(backoff.fail()).await;
+        if compio::time::timeout(backoff.fail(), listener)
+            .await
+            .is_ok()
+        {
+            backoff.succeed();
+        }
     }
 }
 
 async fn session(
     state: &Rc<StoreState>,
     address: SocketAddrV4,
+    stream: TcpStream,
     lost: &mut bool,
-    backoff: &mut Backoff,
 ) -> io::Result<Infallible> {
-    let stream = connect(address, backoff.connect_timeout()).await?;
-    backoff.succeed();
     let (mut sender, receiver) = frames::<Hello, Receipt>(stream);
     sender.send(&Hello::Store(state.member.clone())).await?;
     if *lost {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -26,6 +26,8 @@
 /// Another store.
 #[derive(Debug)]
 pub struct Peer {
+    /// Notified when it has opened a connection, which shows that it runs.
+    pub called: Rc<Event>,
     /// Loads as the entries that follow it report them, and when it told of them.
     pub loads: (Duration, Vec<Loaded>),
     /// Messages of the log that wait for it.
@@ -60,6 +62,7 @@
             return false;
         }
         let peer = Peer {
+            called: Rc::default(),
             loads: (now, Vec::new()),
             queue: VecDeque::new(),
             receipt: 0,
@@ -86,6 +89,13 @@
         }
     }
 
+    /// Notes that a store has opened a connection.
+    pub fn called(&self, address: SocketAddrV4) {
+        if let Some(peer) = self.peers.get(&address) {
+            peer.called.notify(usize::MAX);
+        }
+    }
+
     /// Wakes the connections to all stores.
     pub fn wake(&self) {
         for peer in self.peers.values() {
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -201,6 +201,7 @@
         return Err(io::ErrorKind::InvalidData.into());
     };
     links::learn(state, [address]);
+    state.peers.borrow().called(address);
     loop {
         let gossip = receiver.next().await?;
         let upto = gossip.upto;
