Entries that start try several stores at once

Cause: after a loss of power an entry tried two of the three stores that its settings name, waited 100 ms for each and paused longer each time.

Change: for about three seconds after its start an entry tries three stores at once, with pauses of 10 ms, and follows the first that answers. Later on it tries one at a time with growing pauses, as before.

Test: edge/tests/backoff.rs; fail_after_power_loss needs what the earlier Backoff did not have.

--- a/crates/edge/src/backoff.rs
+++ b/crates/edge/src/backoff.rs
@@ -10,6 +10,17 @@
 /// Longest such time: also enough for a way between two regions on a crowded link.
 const CONNECT_LAST: Duration = Duration::from_millis(1_600);
 
+/// Pause between the quick tries of a process that has just started: as short as a store's own
+/// start.
+const PAUSE_QUICK: Duration = Duration::from_millis(10);
+
+/// Quick tries after a start, about three seconds: the stores may have lost power too, and come
+/// back one by one.
+const QUICK: u32 = 30;
+
+/// Instances that a quick try goes to at once: settings name about as many.
+const WIDTH: usize = 3;
+
 /// First pause before another try.
 const PAUSE_FIRST: Duration = Duration::from_millis(50);
 
@@ -20,16 +31,38 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Backoff {
     failures: u32,
+    /// Quick tries that are left.
+    quick: u32,
 }
 
 impl Backoff {
+    /// Begins with quick tries, as a process that has just started and can't work without.
+    pub const fn quick() -> Self {
+        Self {
+            failures: 0,
+            quick: QUICK,
+        }
+    }
+
     /// Time for which a connection is waited for.
     pub fn connect_timeout(self) -> Duration {
         double(CONNECT_FIRST, self.failures).min(CONNECT_LAST)
     }
 
+    /// Number of instances to be tried at once.
+    pub const fn width(self) -> usize {
+        match self.quick {
+            0 => 1,
+            _ => WIDTH,
+        }
+    }
+
     /// Notes a failure and returns the pause before the next try.
     pub fn fail(&mut self) -> Duration {
+        if self.quick > 0 {
+            self.quick -= 1;
+            return PAUSE_QUICK;
+        }
         let pause = double(PAUSE_FIRST, self.failures).min(PAUSE_LAST);
         self.failures = self.failures.saturating_add(1);
         pause
@@ -37,7 +70,7 @@
 
     /// Notes that a connection was made.
     pub fn succeed(&mut self) {
-        self.failures = 0;
+        *self = Self::default();
     }
 }
 
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -11,10 +11,14 @@
     time::Duration, //
 };
 
-use compio::runtime::spawn;
+use compio::{
+    net::TcpStream,
+    runtime::spawn, //
+};
 use futures::future::{
     Either,
-    select, //
+    select,
+    select_ok, //
 };
 use rand::seq::IteratorRandom as _;
 
@@ -54,16 +58,21 @@
 }
 
 impl Stores {
-    /// Draws a store that is not followed yet; any if all are.
-    fn draw(&self, seeds: &[SocketAddrV4], last: Option<SocketAddrV4>) -> Option<SocketAddrV4> {
-        let free = |store: &&SocketAddrV4| !self.followed.contains(&Some(**store));
-        let mut random = rand::rng();
-        let others = self.known.iter().chain(seeds).filter(free);
-        let fresh = others.clone().filter(|store| Some(**store) != last);
-        fresh
-            .choose(&mut random)
-            .or_else(|| others.choose(&mut random))
-            .copied()
+    /// Draws up to `count` stores that are not followed yet, not the last one if there are others.
+    fn draw(
+        &self,
+        seeds: &[SocketAddrV4],
+        last: Option<SocketAddrV4>,
+        count: usize,
+    ) -> Vec<SocketAddrV4> {
+        let all = self.known.iter().chain(seeds).copied();
+        let mut free: BTreeSet<_> = all
+            .filter(|store| !self.followed.contains(&Some(*store)))
+            .collect();
+        if free.len() > 1 {
+            free.retain(|store| Some(*store) != last);
+        }
+        free.into_iter().choose_multiple(&mut rand::rng(), count)
     }
 }
 
@@ -80,20 +89,34 @@
 
 async fn follow<B: Border>(entry: Rc<Entry>, stores: Rc<RefCell<Stores>>, slot: usize) {
     let mut last = None;
-    let mut backoff = Backoff::default();
+    let mut backoff = Backoff::quick();
     let mut staleness = Staleness::default();
     loop {
         let seeds = entry.seeds.borrow().clone();
-        let drawn = stores.borrow().draw(&seeds, last);
-        let Some(address) = drawn else {
+        let drawn = stores.borrow().draw(&seeds, last, backoff.width());
+        if drawn.is_empty() {
             compio::time::sleep(PAUSE).await;
             continue;
-        };
-        last = Some(address);
-        set(&stores, slot, Some(address));
-        let Err(error) =
-            session::<B>(&entry, &stores, slot, address, &mut backoff, &mut staleness).await;
-        log::info!(store = address.to_string(), reason = error.to_string(); "a store is followed no longer");
+        }
+        if let [address] = *drawn {
+            last = Some(address);
+            set(&stores, slot, last);
+        }
+        match reach(&drawn, backoff.connect_timeout()).await {
+            Ok((address, stream)) if claim(&stores, slot, address) => {
+                last = Some(address);
+                backoff.succeed();
+                let Err(error) =
+                    session::<B>(&entry, &stores, slot, address, stream, &mut staleness).await;
+                log::info!(store = address.to_string(), reason = error.to_string(); "a store is followed no longer");
+            }
+            Ok((address, _)) => {
+                log::debug!(store = address.to_string(); "the store is followed already");
+            }
+            Err(error) => {
+                log::info!(stores = drawn.len(), reason = error.to_string(); "no store is reached");
+            }
+        }
         set(&stores, slot, None);
         let now = entry.clock.now();
         entry.view.borrow_mut().lose(now, slot, B::tag);
@@ -101,6 +124,33 @@
     }
 }
 
+/// Connects to the first of several stores that answers.
+async fn reach(
+    stores: &[SocketAddrV4],
+    patience: Duration,
+) -> io::Result<(SocketAddrV4, TcpStream)> {
+    let tries = stores.iter().map(|&address| {
+        Box::pin(async move {
+            let stream = connect(address, patience).await?;
+            Ok((address, stream))
+        })
+    });
+    select_ok(tries).await.map(|(reached, _)| reached)
+}
+
+/// Notes which store a follower has; false if another follower has it already.
+fn claim(stores: &RefCell<Stores>, slot: usize, address: SocketAddrV4) -> bool {
+    let taken = {
+        let stores = stores.borrow();
+        let mut others = stores.followed.iter().enumerate();
+        others.any(|(other, followed)| other != slot && *followed == Some(address))
+    };
+    if !taken {
+        set(stores, slot, Some(address));
+    }
+    !taken
+}
+
 fn set(stores: &RefCell<Stores>, slot: usize, address: Option<SocketAddrV4>) {
     if let Some(followed) = stores.borrow_mut().followed.get_mut(slot) {
         *followed = address;
@@ -112,11 +162,9 @@
     stores: &RefCell<Stores>,
     slot: usize,
     address: SocketAddrV4,
-    backoff: &mut Backoff,
+    stream: TcpStream,
     staleness: &mut Staleness,
 ) -> io::Result<Infallible> {
-    let stream = connect(address, backoff.connect_timeout()).await?;
-    backoff.succeed();
     let (mut sender, receiver) = frames::<Hello, Push>(stream);
     let hello = Hello::Entry {
         name: entry.settings.name.clone(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -35,6 +35,7 @@
 mod view;
 
 pub use crate::{
+    backoff::Backoff,
     border::{
         Border,
         Call,
--- /dev/null
+++ b/crates/edge/tests/backoff.rs
@@ -0,0 +1,46 @@
+//! How soon a connection is tried again.
+
+use std::time::Duration;
+
+use mimosausher_edge::Backoff;
+
+/// Callers resend after this time first.
+const RESEND: Duration = Duration::from_millis(200);
+
+/// All machines lost power, and the stores come back one by one within three seconds.
+#[test]
+fn fail_after_power_loss() {
+    let mut backoff = Backoff::quick();
+    let mut now = Duration::ZERO;
+    while now < Duration::from_secs(3) {
+        assert!(backoff.width() > 1);
+        let round = backoff.connect_timeout() + backoff.fail();
+        assert!(round < RESEND, "{round:?} at {now:?}");
+        now += round;
+    }
+}
+
+/// The stores stay dark: tries become rare, and go to one store each.
+#[test]
+fn fail_for_long() {
+    let mut backoff = Backoff::quick();
+    let mut now = Duration::ZERO;
+    while now < Duration::from_secs(20) {
+        now += backoff.connect_timeout() + backoff.fail();
+    }
+    assert_eq!(backoff.width(), 1);
+    let pause = backoff.fail();
+    assert!(pause >= RESEND, "{pause:?}");
+}
+
+#[test]
+fn fail_after_success() {
+    let mut backoff = Backoff::quick();
+    backoff.succeed();
+    assert_eq!(backoff.width(), 1);
+    let first = backoff.connect_timeout();
+    backoff.fail();
+    assert!(backoff.connect_timeout() > first);
+    backoff.succeed();
+    assert_eq!(backoff.connect_timeout(), first);
+}
