Stores outlive a limit on the size of files; the soak fills disks

Cause: the platform's stores had no handler for SIGXFSZ, as the daemon has one: at the limit the log's next write ended them.

Change: the handler moves from the daemon into the signals that every program takes first. The soak gets the fault.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -4,8 +4,7 @@
     ffi::OsString,
     path::Path,
     process::ExitCode,
-    rc::Rc,
-    sync::Arc, //
+    rc::Rc, //
 };
 
 use compio::runtime::{
@@ -23,10 +22,6 @@
     Signals, //
 };
 use settings::Settings;
-use signal_hook::{
-    consts::SIGXFSZ,
-    flag, //
-};
 
 use crate::{
     admin::Admin,
@@ -127,8 +122,6 @@
     spawn(datagrams::receive(node.clone(), socket)).detach();
     spawn(datagrams::beat(node.clone())).detach();
     if let Some(folder) = folder {
-        // With a handler, a write behind a file's largest size fails and does not end the process.
-        flag::register(SIGXFSZ, Arc::default()).map_err(Error::Runtime)?;
         spawn(around::run(node.clone(), folder)).detach();
     }
     spawn(inner::accept(node.clone(), listeners.calls)).detach();
--- a/crates/process/src/signals.rs
+++ b/crates/process/src/signals.rs
@@ -20,7 +20,8 @@
 use signal_hook::{
     consts::{
         SIGHUP,
-        SIGTERM, //
+        SIGTERM,
+        SIGXFSZ, //
     },
     flag,
     low_level::pipe, //
@@ -60,6 +61,8 @@
         flag::register(SIGTERM, Arc::clone(&stop))?;
         pipe::register(SIGHUP, writer.try_clone()?)?;
         pipe::register(SIGTERM, writer)?;
+        // With a handler, a write behind a file's largest size fails and does not end the process.
+        flag::register(SIGXFSZ, Arc::default())?;
         Ok(Self {
             reader,
             reload,
