--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -55,7 +55,7 @@
 }
 
 /// The endpoints that an entry knows, and the flows that pass it.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Pool {
     endpoints: SlotMap<EndpointKey, Endpoint>,
     flows: HashMap<FlowKey, Flow>,
