The command line reads entries and stores on the platform

Cause: `mimosausher status` and `endpoints` answered at the product's own instances only; on the platform an operator had logs and metrics.

Ruled out: a port and a role of their own in the settings; the port of the metrics is there already and read-only.

Change: edge::pages serves /v1/status, /v1/overview and /v1/endpoints in the product's own types beside the metrics; edge::describe fills them from an entry's view and a store's registry and group. No audit trail: documents and versions are the platform's operator's.

By hand: both subcommands against a store and an entry on loopback.

--- /dev/null
+++ b/crates/edge/src/describe.rs
@@ -0,0 +1,213 @@
+//! Entries and stores in the words of the product's own interface.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc, //
+};
+
+use announcements::Known;
+use placement::{
+    Endpoint,
+    Phase, //
+};
+use process::Stop;
+use wire::{
+    Addresses,
+    Announcement,
+    Instance,
+    LogMember,
+    LogMembers,
+    ServiceStatus,
+    State,
+    Status, //
+};
+
+use crate::{
+    entry::Entry,
+    metrics::Metrics,
+    pages::Described,
+    settings::{
+        Role,
+        Settings, //
+    },
+    state::StoreState,
+};
+
+impl Described for Entry {
+    fn endpoints(&self) -> Vec<Announcement> {
+        let view = self.view.borrow();
+        let known = view.registry().iter().filter(|known| !known.departed);
+        let mut endpoints: Vec<_> = known.map(announcement).collect();
+        for endpoint in &mut endpoints {
+            let mut pool = view.pool().iter();
+            let held = pool.find(|held| held.name == endpoint.name);
+            if let Some(held) = held {
+                let load = held.load();
+                endpoint.connections = load.flows;
+                endpoint.load = share(load.busy, held.slots);
+            }
+        }
+        endpoints
+    }
+
+    fn metrics(&self) -> &Metrics {
+        &self.decisions.metrics
+    }
+
+    fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    fn status(&self) -> Status {
+        let view = self.view.borrow();
+        let mut services = BTreeMap::new();
+        for endpoint in view.pool().iter() {
+            let name = view.pool().service_name(endpoint.service);
+            count(&mut services, name.unwrap_or_default(), endpoint);
+        }
+        let busy = view.pool().iter().map(|endpoint| endpoint.own().busy);
+        Status {
+            endpoints: view.pool().iter().count(),
+            instance: instance(&self.settings),
+            instances: Vec::new(),
+            log: None,
+            ready: self.ready(),
+            refusals: self.decisions.metrics.refused(),
+            revision: view.version(),
+            running: busy.sum(),
+            services: services.into_values().collect(),
+            stopping: self.stop.begun(),
+        }
+    }
+
+    fn stop(&self) -> &Rc<Stop> {
+        &self.stop
+    }
+}
+
+impl Described for StoreState {
+    fn endpoints(&self) -> Vec<Announcement> {
+        let registry = self.registry.borrow();
+        let known = registry.iter().filter(|known| !known.departed);
+        known.map(announcement).collect()
+    }
+
+    fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    fn status(&self) -> Status {
+        let replica = self.replica.borrow();
+        let published = replica.ledger().published();
+        let current = replica.raft().current(self.clock.now());
+        Status {
+            endpoints: self.registry.borrow().iter().count(),
+            instance: instance(&self.settings),
+            instances: Vec::new(),
+            log: Some(self.log_members()),
+            ready: current && !self.stop.begun(),
+            refusals: self.metrics.refused(),
+            revision: published.map_or(0, |held| held.version),
+            running: 0,
+            services: Vec::new(),
+            stopping: self.stop.begun(),
+        }
+    }
+
+    fn stop(&self) -> &Rc<Stop> {
+        &self.stop
+    }
+}
+
+impl StoreState {
+    fn log_members(&self) -> LogMembers {
+        let replica = self.replica.borrow();
+        let (raft, now) = (replica.raft(), self.clock.now());
+        let members = raft.members().0.iter();
+        LogMembers {
+            confirmed: replica.confirmed(now),
+            // Stores know each other by address only, and themselves by name.
+            leader: raft.leader(now).map(|leader| match leader.id == raft.id() {
+                true => self.settings.name.clone(),
+                false => leader.name.clone(),
+            }),
+            members: members
+                .map(|member| LogMember {
+                    id: member.id.to_string().into(),
+                    inner: member.address,
+                    name: member.name.clone(),
+                    voter: member.voter,
+                })
+                .collect(),
+            term: raft.term().0,
+        }
+    }
+}
+
+fn instance(settings: &Settings) -> Instance {
+    let pages = settings.metrics.unwrap_or_default();
+    Instance {
+        addresses: Addresses {
+            admin: (settings.address, pages).into(),
+            fabric: settings.packets.map(SocketAddr::V4),
+            inner: settings.own().into(),
+            requests: None,
+        },
+        centre: settings.centre.clone(),
+        incarnation: 0,
+        name: settings.name.clone(),
+        refutation: 0,
+        store: settings.role == Role::Store,
+    }
+}
+
+/// An endpoint as it announced itself; what it is used for is told by entries only.
+fn announcement(known: &Known) -> Announcement {
+    let own = &known.announcement;
+    Announcement {
+        address: own.address.into(),
+        centre: own.centre.clone(),
+        connections: 0,
+        incarnation: own.incarnation,
+        load: 0.0,
+        name: own.name.clone(),
+        sequence: own.sequence,
+        service: own.service.clone(),
+        slots: own.slots,
+        state: match own.state {
+            announcements::State::Draining => State::Draining,
+            announcements::State::Ready => State::Ready,
+        },
+    }
+}
+
+/// Requests in work over slots: 1 if all slots are in use.
+fn share(busy: u32, slots: u16) -> f32 {
+    let busy = u16::try_from(busy).unwrap_or(u16::MAX);
+    f32::from(busy) / f32::from(slots.max(1))
+}
+
+fn count(services: &mut BTreeMap<Box<str>, ServiceStatus>, name: &str, endpoint: &Endpoint) {
+    let service = services
+        .entry(name.into())
+        .or_insert_with(|| ServiceStatus {
+            draining: 0,
+            imbalance: 1.0,
+            name: name.into(),
+            ready: 0,
+            stale: 0,
+            starting: 0,
+            waiting: 0,
+        });
+    match endpoint.phase {
+        Phase::Draining => service.draining += 1,
+        Phase::Gone => {}
+        Phase::Ready => service.ready += 1,
+        Phase::Silent => service.stale += 1,
+    }
+}
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -1,29 +1,15 @@
 //! The process's metrics, in the Prometheus text format.
 
 use std::{
-    net::SocketAddrV4,
+    cell::RefCell,
+    collections::BTreeMap,
+    fmt,
     rc::Rc,
     time::Duration, //
 };
 
 use codes::Code;
-use compio::{
-    net::TcpListener,
-    runtime::spawn, //
-};
-use http_body_util::Full;
-use hyper::{
-    Request, Response, StatusCode,
-    body::{
-        Bytes,
-        Incoming, //
-    },
-};
-use process::{
-    CodeLabel,
-    Handler,
-    Stop, //
-};
+use process::CodeLabel;
 use prometheus_client::{
     encoding::{
         EncodeLabelSet,
@@ -37,8 +23,7 @@
     },
     registry::Registry,
 };
-
-use crate::settings::Settings;
+use wire::Refusals;
 
 /// Upper ends of the histograms' buckets, in seconds: from a sync of a fast disk to the longest
 /// that a caller waits.
@@ -81,6 +66,8 @@
     pub unsent: Counter,
     /// Version of the document in force.
     pub version: Gauge,
+    /// Refusals by number of the result code, for the status page.
+    refused: Rc<RefCell<BTreeMap<u16, u64>>>,
     registry: Rc<Registry>,
 }
 
@@ -124,6 +111,7 @@
             placed,
             quorum,
             refusals,
+            refused: Rc::default(),
             registry: Rc::new(registry),
             stores,
             unsent,
@@ -134,6 +122,31 @@
     /// Counts a refusal.
     pub fn refuse(&self, code: Code) {
         self.refusals.get_or_create(&CodeLabel::from(code)).inc();
+        let mut refused = self.refused.borrow_mut();
+        *refused.entry(code.number()).or_default() += 1;
+    }
+
+    /// How often each result code was given.
+    pub fn refused(&self) -> Vec<Refusals> {
+        let refused = self.refused.borrow();
+        let refused = refused.iter();
+        refused
+            .map(|(code, count)| Refusals {
+                code: *code,
+                count: *count,
+            })
+            .collect()
+    }
+
+    /// All metrics, in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// What the encoder reported.
+    pub fn text(&self) -> Result<String, fmt::Error> {
+        let mut text = String::new();
+        encode(&mut text, &self.registry)?;
+        Ok(text)
     }
 
     /// Notes how long a call took.
@@ -150,35 +163,7 @@
     }
 }
 
-/// Serves the metrics, if the settings say so. Without them the process still does its work.
-pub async fn expose(metrics: Metrics, settings: &Settings, stop: &Rc<Stop>) {
-    let Some(port) = settings.metrics else {
-        return;
-    };
-    match TcpListener::bind(SocketAddrV4::new(settings.address, port)).await {
-        Ok(listener) => spawn(process::serve(stop.clone(), listener, metrics)).detach(),
-        Err(error) => log::warn!(port; "the metrics are not served: {error}"),
-    }
-}
-
 /// A count as a gauge shows it.
 pub fn gauge(count: usize) -> i64 {
     i64::try_from(count).unwrap_or(i64::MAX)
 }
-
-impl Handler for Metrics {
-    type Body = Full<Bytes>;
-
-    fn handle(&self, _: Request<Incoming>) -> impl Future<Output = Response<Self::Body>> + 'static {
-        let mut text = String::new();
-        let encoded = encode(&mut text, &self.registry);
-        async move {
-            let mut response = Response::new(Full::new(Bytes::from(text)));
-            if let Err(error) = encoded {
-                log::error!("the metrics cannot be encoded: {error}");
-                *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
-            }
-            response
-        }
-    }
-}
--- /dev/null
+++ b/crates/edge/src/pages.rs
@@ -0,0 +1,158 @@
+//! The pages for operators: the metrics, and what the process knows, as the command line reads it.
+
+use std::{
+    net::SocketAddrV4,
+    rc::Rc, //
+};
+
+use compio::{
+    net::TcpListener,
+    runtime::spawn, //
+};
+use http_body_util::Full;
+use hyper::{
+    Request, Response, StatusCode,
+    body::{
+        Bytes,
+        Incoming, //
+    },
+    header::{
+        CONTENT_TYPE,
+        HeaderValue, //
+    },
+};
+use process::{
+    Handler,
+    Stop, //
+};
+use serde::Serialize;
+use wire::{
+    Announcement,
+    MemberStatus,
+    Overview,
+    Standing,
+    Status, //
+};
+
+use crate::{
+    metrics::Metrics,
+    settings::Settings, //
+};
+
+/// What a process can tell operators of itself.
+pub trait Described: 'static {
+    /// The endpoints that it knows, in the order of their names.
+    fn endpoints(&self) -> Vec<Announcement>;
+
+    /// The metrics.
+    fn metrics(&self) -> &Metrics;
+
+    /// The settings.
+    fn settings(&self) -> &Settings;
+
+    /// Its state.
+    fn status(&self) -> Status;
+
+    /// The planned stop.
+    fn stop(&self) -> &Rc<Stop>;
+}
+
+/// Serves the pages, if the settings name a port. Without them the process still does its work.
+pub async fn expose<D: Described>(process: Rc<D>) {
+    let settings = process.settings();
+    let Some(port) = settings.metrics else {
+        return;
+    };
+    let address = SocketAddrV4::new(settings.address, port);
+    match TcpListener::bind(address).await {
+        Ok(listener) => {
+            let stop = process.stop().clone();
+            spawn(process::serve(stop, listener, Pages { process })).detach();
+        }
+        Err(error) => log::warn!(port; "the metrics are not served: {error}"),
+    }
+}
+
+/// The face towards operators.
+#[derive(Debug)]
+struct Pages<D> {
+    process: Rc<D>,
+}
+
+impl<D> Clone for Pages<D> {
+    fn clone(&self) -> Self {
+        Self {
+            process: self.process.clone(),
+        }
+    }
+}
+
+impl<D: Described> Handler for Pages<D> {
+    type Body = Full<Bytes>;
+
+    fn handle(
+        &self,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Response<Self::Body>> + 'static {
+        let process = &*self.process;
+        let page = match request.uri().path() {
+            "/v1/endpoints" => json(&process.endpoints()),
+            "/v1/overview" => json(&overview(process)),
+            "/v1/status" => json(&process.status()),
+            path if path.starts_with("/v1/") => unknown(),
+            _ => text(process.metrics()),
+        };
+        async move { page }
+    }
+}
+
+fn text(metrics: &Metrics) -> Response<Full<Bytes>> {
+    match metrics.text() {
+        Ok(text) => Response::new(Full::new(Bytes::from(text))),
+        Err(error) => failure(&error),
+    }
+}
+
+fn json(page: &impl Serialize) -> Response<Full<Bytes>> {
+    match serde_json::to_vec(page) {
+        Ok(bytes) => {
+            let mut response = Response::new(Full::new(Bytes::from(bytes)));
+            let json = HeaderValue::from_static("application/json");
+            response.headers_mut().insert(CONTENT_TYPE, json);
+            response
+        }
+        Err(error) => failure(&error),
+    }
+}
+
+fn unknown() -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from_static(b"no such page\n")));
+    *response.status_mut() = StatusCode::NOT_FOUND;
+    response
+}
+
+fn failure(error: &impl ToString) -> Response<Full<Bytes>> {
+    log::error!("a page cannot be encoded: {}", error.to_string());
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+    response
+}
+
+/// The process alone: entries and stores of a platform are asked one by one.
+fn overview(process: &impl Described) -> Overview {
+    let status = process.status();
+    let (instance, log) = (&status.instance, status.log.as_ref());
+    Overview {
+        asked: instance.name.clone(),
+        leader: log.and_then(|log| log.leader.clone()),
+        members: vec![MemberStatus {
+            centre: instance.centre.clone(),
+            lag: 0,
+            name: instance.name.clone(),
+            standing: Standing::Alive,
+            status: Some(status.clone()),
+        }],
+        revision: status.revision,
+        silent: Vec::new(),
+    }
+}
--- a/crates/edge/src/run_entry.rs
+++ b/crates/edge/src/run_entry.rs
@@ -27,10 +27,8 @@
     error::Error,
     follow,
     forward::forward,
-    metrics::{
-        self,
-        gauge, //
-    },
+    metrics::gauge,
+    pages,
     ready::Ready,
     reload::until_stop,
     settings::Settings, //
@@ -71,8 +69,7 @@
         Ready::<B>::new(entry.clone()),
     ))
     .detach();
-    let metrics = entry.decisions.metrics.clone();
-    metrics::expose(metrics, &entry.settings, &entry.stop).await;
+    pages::expose(entry.clone()).await;
     follow::start::<B>(&entry);
     spawn(tick::<B>(entry.clone(), socket, port)).detach();
     let apply = |settings: Settings| *entry.seeds.borrow_mut() = settings.seeded();
--- a/crates/edge/src/run_store.rs
+++ b/crates/edge/src/run_store.rs
@@ -49,10 +49,10 @@
     error::Error,
     links,
     metrics::{
-        self,
         Metrics,
         gauge, //
     },
+    pages,
     peers::Peers,
     reload::until_stop,
     serve,
@@ -97,8 +97,7 @@
     spawn(tick(state.clone())).detach();
     let face = Control::<B>::new(state.clone());
     spawn(process::serve(state.stop.clone(), listener, face)).detach();
-    let metrics = state.metrics.clone();
-    metrics::expose(metrics, &state.settings, &state.stop).await;
+    pages::expose(state.clone()).await;
     links::learn(&state, state.settings.seeded());
     let apply = |settings: Settings| {
         links::learn(&state, settings.seeded());
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -108,6 +108,11 @@
         &self.pool
     }
 
+    /// What endpoints announced.
+    pub const fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
     /// Version of the document in force; 0 if there is none.
     pub const fn version(&self) -> u64 {
         self.version
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -87,6 +87,11 @@
         key
     }
 
+    /// The name of a service.
+    pub fn service_name(&self, key: ServiceKey) -> Option<&str> {
+        self.service_names.get(key).map(|name| &**name)
+    }
+
     /// Takes in what is known of an endpoint. Its load as seen here stays.
     pub fn update(&mut self, endpoint: Endpoint) {
         match self.names.get(&endpoint.name).copied() {
