What refused_with_free_slot counts in overload

Cause: a slot is empty for one way there and back after each answer. In overload one of some tens of slots nearly always is, so most refusals count, whatever the policy.

Change: the bench also counts refusals while a slot had been empty for longer than a way there and back. The old figure stays beside it.

--- a/crates/dispatch/benches/requests.rs
+++ b/crates/dispatch/benches/requests.rs
@@ -102,6 +102,7 @@
     figure("goodput", result.goodput * 100.0, "% of capacity");
     figure("refused", result.refused * 100.0, "%");
     figure("refused_with_free_slot", result.free * 100.0, "%");
+    figure("refused_with_usable_slot", result.usable * 100.0, "%");
     figure("shed_by_endpoint", result.shed * 100.0, "%");
     figure("double_runs", f64::from(result.double), "");
     figure("false_not_run", f64::from(result.false_not), "");
--- a/crates/dispatch/benches/sim/mod.rs
+++ b/crates/dispatch/benches/sim/mod.rs
@@ -54,6 +54,9 @@
     pub refused: f64,
     pub shed: f64,
     pub times: Histogram<u64>,
+    /// Refusals while a slot was free for longer than the way there and back: the answer that freed
+    /// it had arrived, and a next request could have.
+    pub usable: f64,
 }
 
 impl Result {
--- a/crates/dispatch/benches/sim/omniscient.rs
+++ b/crates/dispatch/benches/sim/omniscient.rs
@@ -93,5 +93,6 @@
         refused: late / total,
         shed: 0.0,
         times,
+        usable: 0.0,
     }
 }
--- a/crates/dispatch/benches/sim/world.rs
+++ b/crates/dispatch/benches/sim/world.rs
@@ -108,7 +108,7 @@
     not_run: BTreeSet<u64>,
     placed: BTreeMap<u64, (u32, u32)>,
     pools: Vec<Pool<P>>,
-    refused: [f64; 2],
+    refused: [f64; 3],
     reports: Vec<(Duration, Vec<Candidate<u32>>)>,
     requests: Vec<Planned>,
     ring: Ring,
@@ -155,7 +155,7 @@
             pools: (0..ENTRIES)
                 .map(|entry| Pool::new(policy(entry), Limits::new()))
                 .collect(),
-            refused: [0.0; 2],
+            refused: [0.0; 3],
             reports: Vec::new(),
             requests: plan(&deployment, &case, seed),
             ring,
@@ -184,6 +184,7 @@
             imbalance: imbalance(&self.busy),
             refused: self.refused[0] / total,
             shed: self.shed / total,
+            usable: self.refused[2] / total,
             times: self.times,
         }
     }
@@ -365,7 +366,7 @@
         if server.running.get(&request) != Some(&run) {
             return;
         }
-        server.running.remove(&request);
+        server.end(now, request, self.deployment.slots);
         if let Some((entry, _)) = self.placed.get(&request).copied() {
             let answer = Happening::Answer { entry, request };
             self.at(now + self.deployment.hop, answer);
@@ -412,10 +413,15 @@
             self.settle(entry, request, &Settled::NotRun);
         }
         if measured(now) {
-            let slots = usize::from(self.deployment.slots);
-            let free = serving(&self.case, now).any(|e| self.endpoints[&e].running.len() < slots);
+            let (slots, hop) = (self.deployment.slots, self.deployment.hop);
+            let free = |time| {
+                let mut serving = serving(&self.case, now);
+                serving.any(|endpoint| self.endpoints[&endpoint].idle(now, slots, time))
+            };
+            let (any, usable) = (free(Duration::ZERO), free(hop * 2));
             self.refused[0] += 1.0;
-            self.refused[1] += f64::from(u8::from(free));
+            self.refused[1] += f64::from(u8::from(any));
+            self.refused[2] += f64::from(u8::from(usable));
         }
     }
 
@@ -440,7 +446,7 @@
         for (request, endpoint) in lost {
             self.placed.remove(&request);
             let server = self.endpoints.get_mut(&endpoint).unwrap();
-            server.running.remove(&request);
+            server.end(now, request, self.deployment.slots);
             server.waiting.retain(|waiting| *waiting != request);
             self.next(now, endpoint);
             if self.requests[request as usize].keyed {
