One concept a file: probes, decisions on packets, the bench's endpoints

Cause: membership/members.rs held the members and the probes, steering/owners.rs the machine and its decisions, the dispatch bench's sim/world.rs the entries, the endpoints and what happens.

Change: membership::{probe, probing}, steering::decisions, sim/{endpoints, happening}. Moves only; methods that the other file calls are visible in the package.

--- a/crates/dispatch/benches/sim/mod.rs
+++ b/crates/dispatch/benches/sim/mod.rs
@@ -2,6 +2,8 @@
 
 mod case;
 mod endpoint;
+mod endpoints;
+mod happening;
 mod omniscient;
 mod plan;
 mod world;
--- a/crates/dispatch/benches/sim/world.rs
+++ b/crates/dispatch/benches/sim/world.rs
@@ -32,21 +32,18 @@
 };
 
 use super::{
-    Case, DEADLINE, Deployment, ENDPOINTS, ENTRIES, LENGTH, Result, WARM, WINDOW,
+    Case, DEADLINE, Deployment, ENDPOINTS, ENTRIES, LENGTH, Result, WARM,
     endpoint::Endpoint,
+    happening::Happening,
     imbalance,
     plan::{
         COLD,
         Planned,
-        factor,
         plan,
         serving, //
     },
 };
 
-/// Time between two reports of an endpoint.
-const REPORT: Duration = Duration::from_millis(500);
-
 /// Time between two exchanges of an entry with its peers.
 const EXCHANGE: Duration = Duration::from_millis(250);
 
@@ -56,67 +53,29 @@
 /// Time after which the callers of a dead entry send again.
 const RESEND: Duration = Duration::from_millis(100);
 
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Happening {
-    Answer {
-        entry: u32,
-        request: u64,
-    },
-    Arrive {
-        entry: u32,
-        request: u64,
-    },
-    Die,
-    Exchange,
-    Finish {
-        endpoint: u32,
-        request: u64,
-        run: u64,
-    },
-    Reach {
-        endpoint: u32,
-        entry: u32,
-        request: u64,
-    },
-    Report,
-    Shed {
-        entry: u32,
-        request: u64,
-    },
-    Tick {
-        entry: u32,
-    },
-    Told {
-        counts: Vec<(u32, u16)>,
-        entry: u32,
-        peer: u32,
-        waiting: u32,
-    },
-}
-
 /// Everything that takes part in a run.
 pub struct World<P: Policy<Key = u32>> {
-    busy: BTreeMap<u64, BTreeMap<u32, f64>>,
-    case: Case,
-    dead: BTreeSet<u32>,
-    deployment: Deployment,
-    endpoints: BTreeMap<u32, Endpoint>,
-    exchange: bool,
-    events: BinaryHeap<Reverse<(Duration, u64, Happening)>>,
-    good: f64,
-    holders: BTreeMap<Box<str>, Holder>,
-    not_run: BTreeSet<u64>,
-    placed: BTreeMap<u64, (u32, u32)>,
-    pools: Vec<Pool<P>>,
-    refused: [f64; 3],
-    reports: Vec<(Duration, Vec<Candidate<u32>>)>,
-    requests: Vec<Planned>,
-    ring: Ring,
-    runs: BTreeMap<u64, u32>,
-    sequence: u64,
-    shed: f64,
-    ticking: BTreeSet<u32>,
-    times: Histogram<u64>,
+    pub(super) busy: BTreeMap<u64, BTreeMap<u32, f64>>,
+    pub(super) case: Case,
+    pub(super) dead: BTreeSet<u32>,
+    pub(super) deployment: Deployment,
+    pub(super) endpoints: BTreeMap<u32, Endpoint>,
+    pub(super) exchange: bool,
+    pub(super) events: BinaryHeap<Reverse<(Duration, u64, Happening)>>,
+    pub(super) good: f64,
+    pub(super) holders: BTreeMap<Box<str>, Holder>,
+    pub(super) not_run: BTreeSet<u64>,
+    pub(super) placed: BTreeMap<u64, (u32, u32)>,
+    pub(super) pools: Vec<Pool<P>>,
+    pub(super) refused: [f64; 3],
+    pub(super) reports: Vec<(Duration, Vec<Candidate<u32>>)>,
+    pub(super) requests: Vec<Planned>,
+    pub(super) ring: Ring,
+    pub(super) runs: BTreeMap<u64, u32>,
+    pub(super) sequence: u64,
+    pub(super) shed: f64,
+    pub(super) ticking: BTreeSet<u32>,
+    pub(super) times: Histogram<u64>,
 }
 
 impl<P: Policy<Key = u32>> World<P> {
@@ -204,7 +163,7 @@
         }
     }
 
-    fn at(&mut self, at: Duration, happening: Happening) {
+    pub(super) fn at(&mut self, at: Duration, happening: Happening) {
         self.sequence += 1;
         self.events.push(Reverse((at, self.sequence, happening)));
     }
@@ -257,7 +216,7 @@
     }
 
     /// Gives an event to an entry's pool and carries out what it wants.
-    fn give(&mut self, now: Duration, entry: u32, event: Event<u32>) {
+    pub(super) fn give(&mut self, now: Duration, entry: u32, event: Event<u32>) {
         if self.dead.contains(&entry) {
             return;
         }
@@ -322,65 +281,6 @@
         }
     }
 
-    fn reach(&mut self, now: Duration, endpoint: u32, entry: u32, request: u64) {
-        let slots = usize::from(self.deployment.slots);
-        let hop = self.deployment.hop;
-        let server = self.endpoints.get_mut(&endpoint).unwrap();
-        if server.running.len() < slots {
-            self.start(now, endpoint, request);
-        } else if server.waiting.len() < self.case.backlog {
-            server.waiting.push_back(request);
-        } else {
-            self.shed += f64::from(u8::from(measured(now)));
-            self.at(now + hop, Happening::Shed { entry, request });
-        }
-    }
-
-    fn start(&mut self, now: Duration, endpoint: u32, request: u64) {
-        self.sequence += 1;
-        let run = self.sequence;
-        let work = self.requests[request as usize].work;
-        let time = work.mul_f64(factor(&self.case, endpoint, now));
-        *self.runs.entry(request).or_default() += 1;
-        let server = self.endpoints.get_mut(&endpoint).unwrap();
-        server.running.insert(request, run);
-        if measured(now) {
-            let window = ((now - WARM).as_millis() / WINDOW.as_millis())
-                .try_into()
-                .unwrap();
-            let shares = self.busy.entry(window).or_default();
-            *shares.entry(endpoint).or_default() += time.as_secs_f64();
-        }
-        self.at(
-            now + time,
-            Happening::Finish {
-                endpoint,
-                request,
-                run,
-            },
-        );
-    }
-
-    fn finish(&mut self, now: Duration, endpoint: u32, request: u64, run: u64) {
-        let server = self.endpoints.get_mut(&endpoint).unwrap();
-        if server.running.get(&request) != Some(&run) {
-            return;
-        }
-        server.end(now, request, self.deployment.slots);
-        if let Some((entry, _)) = self.placed.get(&request).copied() {
-            let answer = Happening::Answer { entry, request };
-            self.at(now + self.deployment.hop, answer);
-        }
-        self.next(now, endpoint);
-    }
-
-    fn next(&mut self, now: Duration, endpoint: u32) {
-        let server = self.endpoints.get_mut(&endpoint).unwrap();
-        if let Some(request) = server.waiting.pop_front() {
-            self.start(now, endpoint, request);
-        }
-    }
-
     fn answer(&mut self, now: Duration, entry: u32, request: u64) {
         if self.dead.contains(&entry) {
             return;
@@ -456,51 +356,6 @@
         }
     }
 
-    fn report(&mut self, now: Duration) {
-        let slots = self.deployment.slots;
-        let stuck = self.case.stuck;
-        let candidates: Vec<_> = serving(&self.case, now)
-            .map(|key| Candidate {
-                key,
-                reported: if stuck {
-                    0.0
-                } else {
-                    self.endpoints[&key].load(slots)
-                },
-                slots,
-            })
-            .collect();
-        let membership = candidates.iter().map(|c| c.key).collect::<Vec<_>>();
-        self.reports.push((now, candidates));
-        let lag = self.case.lag;
-        let known = self
-            .reports
-            .iter()
-            .rev()
-            .find(|(at, _)| *at + lag <= now)
-            .or(self.reports.first())
-            .map(|(_, candidates)| candidates.clone())
-            .unwrap_or_default();
-        let mut known: BTreeMap<u32, Candidate<u32>> =
-            known.into_iter().map(|c| (c.key, c)).collect();
-        let current = membership
-            .into_iter()
-            .map(|key| {
-                known.remove(&key).unwrap_or(Candidate {
-                    key,
-                    reported: 0.0,
-                    slots,
-                })
-            })
-            .collect::<Vec<_>>();
-        for entry in 0..ENTRIES {
-            self.give(now, entry, Event::Endpoints(current.clone()));
-        }
-        if now < LENGTH {
-            self.at(now + REPORT, Happening::Report);
-        }
-    }
-
     fn tell(&mut self, now: Duration) {
         if !self.exchange || now > LENGTH {
             return;
@@ -540,7 +395,7 @@
     }
 }
 
-fn measured(at: Duration) -> bool {
+pub(super) fn measured(at: Duration) -> bool {
     at > WARM && at < LENGTH
 }
 
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -5,6 +5,8 @@
 mod member;
 mod members;
 mod message;
+mod probe;
+mod probing;
 mod rumours;
 mod times;
 mod view;
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod action;
 mod arrival;
+mod decisions;
 mod encapsulation;
 mod endpoint;
 mod error;
