restart_after_hundreds waits for the store whose page it compares with

Cause: the test waits until all entries have revision 300, and then compares their document with one store's page, which it did not wait for. A store's page follows the log like an entry's: the edit is acknowledged once a quorum has it, not once each page shows it.

Ruled out: an entry that went by a wrong document; it is the entry that had the newest one.

Change: the test waits for the store too, with the same patience, and then compares as before: just as strict on what has to be equal.

--- a/crates/daemon/tests/distribution_failures.rs
+++ b/crates/daemon/tests/distribution_failures.rs
@@ -196,6 +196,9 @@
     await_ready(restarted);
     assert_eq!(revision(restarted), 300);
     cluster.await_revision(300).unwrap();
+    // The store's own page follows the log like an entry's.
+    let latest = |page: &Value| page["revision"].as_u64() >= Some(300);
+    Cluster::await_page(store, "/v1/status", latest).unwrap();
     let document = |instance| call(instance, "GET /v1/document", &[], b"").unwrap().text();
     for entry in cluster.faces("admin") {
         assert_eq!(document(entry), document(store));
