One description of the group; the way to a store in two functions

Cause: the page of a platform's store built the same list of members as the daemon's, and links::keep had grown long.

Change: replica::members is used by both; links::reach is the connection that a call ends. No behaviour changes but that a store names itself as leader only while it leads.

Runs: platform/tests/{operators,path,storage,start}.

--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -22,8 +22,7 @@
 
 use crate::{
     node::Node,
-    proposals,
-    replicated, //
+    proposals, //
 };
 
 /// Pause between two looks at the members.
@@ -42,7 +41,7 @@
 /// `NoLeader` if this instance is not a store.
 pub fn show(node: &Node) -> Result<LogMembers, Refused> {
     match &node.replica {
-        Some(replica) => Ok(replicated::members(&replica.borrow(), node.now())),
+        Some(replica) => Ok(replica::members(&replica.borrow(), node.now())),
         None => Err((Code::NoLeader, "this instance is not a store".into())),
     }
 }
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -24,8 +24,7 @@
 
 use crate::{
     convert_member,
-    node::Node,
-    replicated, //
+    node::Node, //
 };
 
 /// Time after which an instance that does not answer counts as silent.
@@ -46,7 +45,7 @@
         log: node
             .replica
             .as_ref()
-            .map(|replica| replicated::members(&replica.borrow(), node.now())),
+            .map(|replica| replica::members(&replica.borrow(), node.now())),
         ready: node.ready(),
         refusals: node.metrics.refused(),
         revision: node.known.configuration.borrow().revision(),
--- a/crates/edge/src/describe.rs
+++ b/crates/edge/src/describe.rs
@@ -16,7 +16,6 @@
     Addresses,
     Announcement,
     Instance,
-    LogMember,
     LogMembers,
     ServiceStatus,
     State,
@@ -109,7 +108,7 @@
             endpoints: self.registry.borrow().iter().count(),
             instance: instance(&self.settings),
             instances: Vec::new(),
-            log: Some(self.log_members()),
+            log: Some(self.group()),
             ready: current && !self.stop.begun(),
             refusals: self.metrics.refused(),
             revision: published.map_or(0, |held| held.version),
@@ -125,27 +124,14 @@
 }
 
 impl StoreState {
-    fn log_members(&self) -> LogMembers {
+    /// The group. Stores know each other by address only, and themselves by name.
+    fn group(&self) -> LogMembers {
         let replica = self.replica.borrow();
-        let (raft, now) = (replica.raft(), self.clock.now());
-        let members = raft.members().0.iter();
-        LogMembers {
-            confirmed: replica.confirmed(now),
-            // Stores know each other by address only, and themselves by name.
-            leader: raft.leader(now).map(|leader| match leader.id == raft.id() {
-                true => self.settings.name.clone(),
-                false => leader.name.clone(),
-            }),
-            members: members
-                .map(|member| LogMember {
-                    id: member.id.to_string().into(),
-                    inner: member.address,
-                    name: member.name.clone(),
-                    voter: member.voter,
-                })
-                .collect(),
-            term: raft.term().0,
+        let mut group = replica::members(&replica, self.clock.now());
+        if replica.raft().leads() {
+            group.leader = Some(self.settings.name.clone());
         }
+        group
     }
 }
 
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -13,6 +13,7 @@
     net::TcpStream,
     runtime::spawn, //
 };
+use event_listener::Event;
 use futures::future::{
     Either,
     select, //
@@ -56,17 +57,14 @@
             Some(peer) => peer.called.clone(),
             None => return,
         };
-        let listener = called.listen();
-        let connecting = pin!(connect(address, backoff.connect_timeout()));
-        let error = match select(connecting, listener).await {
-            Either::Left((Ok(stream), _)) => {
+        let error = match reach(address, backoff, &called).await {
+            Some(Ok(stream)) => {
                 backoff.succeed();
                 let Err(error) = session(&state, address, stream, &mut lost).await;
                 error
             }
-            Either::Left((Err(error), _)) => error,
-            Either::Right(_) => {
-                // It runs: what was sent to it while it was dark is lost, so connect anew.
+            Some(Err(error)) => error,
+            None => {
                 backoff.succeed();
                 continue;
             }
@@ -80,15 +78,28 @@
             Some(peer) => peer.queue.clear(),
             None => return,
         }
-        if compio::time::timeout(backoff.fail(), listener)
-            .await
-            .is_ok()
-        {
+        let pause = compio::time::timeout(backoff.fail(), listener).await;
+        if pause.is_ok() {
             backoff.succeed();
         }
     }
 }
 
+/// Connects to a store; none if that one calls meanwhile: it runs, and what was sent to it while it
+/// was dark is lost.
+async fn reach(
+    address: SocketAddrV4,
+    backoff: Backoff,
+    called: &Event,
+) -> Option<io::Result<TcpStream>> {
+    let listener = called.listen();
+    let connecting = pin!(connect(address, backoff.connect_timeout()));
+    match select(connecting, listener).await {
+        Either::Left((stream, _)) => Some(stream),
+        Either::Right(_) => None,
+    }
+}
+
 async fn session(
     state: &Rc<StoreState>,
     address: SocketAddrV4,
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -1,6 +1,7 @@
 //! One store's replica of the log: the events that wait for it, its disk and its answers.
 
 mod driver;
+mod members;
 mod replica;
 
 pub use crate::{
@@ -8,5 +9,6 @@
         Surroundings,
         run, //
     },
+    members::members,
     replica::Replica,
 };
