Voters and copies are spread over data centres

Cause: the seeds that found the group may stand in one data centre, and a learner was made a voter in the order of the list. Of five stores in three data centres (2, 2, 1) or nine in three, one data centre could hold a majority of the voters: its loss stopped all changes of the document, though the deployment may lose a data centre. A drain could be acknowledged with its only copy in the same data centre. docs/PROOF.md listed it as unproved.

Ruled out: a data centre in each member's record, since founders know the seeds by address only. Stores say where they stand when they connect; leaders keep that in memory.

Change: the learner beside the fewest voters is made a voter; a data centre whose loss would leave no quorum gives a voter to an emptier one, first the new voter, then the removal. A drain is acknowledged once a store of another data centre has it, if there is any.

Deployments with one store a data centre behave as before.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -165,13 +165,14 @@
 }
 
 /// Waits until enough other stores have what this one has: the loss of as many as may be lost, this
-/// one among them, loses nothing.
+/// one among them, or of this data centre loses nothing.
 async fn copied(state: &StoreState) -> Result<Reply, Refused> {
     let change = state.registry.borrow().count();
     let until = state.clock.now() + ANSWER;
     loop {
         let listener = state.copied.listen();
-        if state.peers.borrow().copies(change) >= state.settings.losses {
+        let (losses, centre) = (state.settings.losses, &state.settings.centre);
+        if state.peers.borrow().copied(change, losses, centre) {
             return Ok(Reply::Done);
         }
         let left = until.saturating_sub(state.clock.now());
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -56,6 +56,7 @@
         Loaded,
         Push, //
     },
+    peers::Peers,
     run::run,
     settings::{
         Role,
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -107,7 +107,11 @@
     lost: &mut bool,
 ) -> io::Result<Infallible> {
     let (mut sender, receiver) = frames::<Hello, Receipt>(stream);
-    sender.send(&Hello::Store(state.member.clone())).await?;
+    let hello = Hello::Store {
+        centre: state.settings.centre.clone(),
+        member: state.member.clone(),
+    };
+    sender.send(&hello).await?;
     if *lost {
         log::info!(store = address.to_string(); "another store is reached again");
         *lost = false;
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -26,7 +26,12 @@
         version: u64,
     },
     /// Another store.
-    Store(Member),
+    Store {
+        /// Its data centre.
+        centre: Box<str>,
+        /// The store as a member of the group.
+        member: Member,
+    },
 }
 
 /// One endpoint's load as one or more entries see it.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -28,6 +28,8 @@
 pub struct Peer {
     /// Notified when it has opened a connection, which shows that it runs.
     pub called: Rc<Event>,
+    /// Its data centre, once it has said so.
+    pub centre: Option<Box<str>>,
     /// Loads as the entries that follow it report them, and when it told of them.
     pub loads: (Duration, Vec<Loaded>),
     /// Messages of the log that wait for it.
@@ -63,6 +65,7 @@
         }
         let peer = Peer {
             called: Rc::default(),
+            centre: None,
             loads: (now, Vec::new()),
             queue: VecDeque::new(),
             receipt: 0,
@@ -89,9 +92,10 @@
         }
     }
 
-    /// Notes that a store has opened a connection.
-    pub fn called(&self, address: SocketAddrV4) {
-        if let Some(peer) = self.peers.get(&address) {
+    /// Notes that a store has opened a connection and said in which data centre it stands.
+    pub fn called(&mut self, address: SocketAddrV4, centre: Box<str>) {
+        if let Some(peer) = self.peers.get_mut(&address) {
+            peer.centre = Some(centre);
             peer.called.notify(usize::MAX);
         }
     }
@@ -110,10 +114,16 @@
         heard.count()
     }
 
-    /// Number of stores that have all records up to an own change.
-    pub fn copies(&self, change: u64) -> usize {
-        let peers = self.peers.values();
-        peers.filter(|peer| peer.receipt >= change).count()
+    /// Whether all records up to an own change survive the loss of `losses` stores, and that of the
+    /// whole data centre `centre`: enough others have a copy, one of another data centre among them
+    /// if there is any.
+    pub fn copied(&self, change: u64, losses: usize, centre: &str) -> bool {
+        let remote = |peer: &&Peer| peer.centre.as_deref().is_some_and(|other| other != centre);
+        let copies = || self.peers.values().filter(|peer| peer.receipt >= change);
+        let abroad = losses == 0
+            || !self.peers.values().any(|peer| remote(&peer))
+            || copies().any(|peer| remote(&peer));
+        abroad && copies().count() >= losses
     }
 
     /// Inner addresses of the stores that were heard lately, this one among them.
--- a/crates/edge/src/run_store.rs
+++ b/crates/edge/src/run_store.rs
@@ -152,6 +152,10 @@
         members.sort_by_key(|member| member.address);
         replica.push(Event::Found(group(&seeds), Members(members.into())));
     }
+    replica.push(Event::Locate(
+        member(own, folder.id()).name,
+        settings.centre.clone(),
+    ));
     let clock = Clock::new();
     let mut registry = Registry::new(settings.heartbeat() * MISSED);
     endpoint_file::load(&data, clock.now(), &mut registry);
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -82,7 +82,9 @@
         Ok(Hello::Entry { name, version }) => {
             entry(&state, &name, version, sender.retype(), receiver.retype()).await
         }
-        Ok(Hello::Store(member)) => gossip(&state, &member, sender, receiver.retype()).await,
+        Ok(Hello::Store { centre, member }) => {
+            gossip(&state, centre, &member, sender, receiver.retype()).await
+        }
         Err(error) => Err(error),
     };
     if let Err(error) = ended {
@@ -193,6 +195,7 @@
 /// Takes what another store tells.
 async fn gossip(
     state: &Rc<StoreState>,
+    centre: Box<str>,
     member: &Member,
     mut sender: Sender<Receipt>,
     mut receiver: Receiver<Gossip>,
@@ -201,7 +204,9 @@
         return Err(io::ErrorKind::InvalidData.into());
     };
     links::learn(state, [address]);
-    state.peers.borrow().called(address);
+    let located = Event::Locate(member.name.clone(), centre.clone());
+    state.replica.borrow_mut().push(located);
+    state.peers.borrow_mut().called(address, centre);
     loop {
         let gossip = receiver.next().await?;
         let upto = gossip.upto;
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -106,6 +106,8 @@
                 | Event::Message(_)
                 | Event::Synced(_)
                 | Event::Tick => {}
+                // Said once a connection, and nothing is written for it.
+                Event::Locate(..) => self.queue.push_back(event),
             }
         }
         for (_, sender) in mem::take(&mut self.answers) {
--- a/crates/store/src/event.rs
+++ b/crates/store/src/event.rs
@@ -49,6 +49,8 @@
     Init(ClusterId, Member),
     /// A store asks to be taken in; only the leader acts on it.
     Join(Member),
+    /// A store, by its name, said in which data centre it stands.
+    Locate(Box<str>, Box<str>),
     /// A message of another store.
     Message(Message),
     /// An operator publishes a document with its own version.
--- a/crates/store/src/fingerprint.rs
+++ b/crates/store/src/fingerprint.rs
@@ -17,6 +17,7 @@
         let Self {
             applied,
             ballot,
+            centres,
             cluster,
             commit,
             id,
@@ -28,7 +29,10 @@
             snapshot,
             ..
         } = self;
-        (applied, ballot, cluster, commit, id, incoming, leader).hash(hasher);
+        (
+            applied, ballot, centres, cluster, commit, id, incoming, leader,
+        )
+            .hash(hasher);
         (log, snapshot, ledger.revision(), ledger.audit().len()).hash(hasher);
         self.confirmed(self.now).hash(hasher);
         match role {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -30,6 +30,7 @@
 mod role;
 mod roster;
 mod snapshot;
+mod spread;
 mod timing;
 mod version;
 
--- a/crates/store/src/raft.rs
+++ b/crates/store/src/raft.rs
@@ -1,6 +1,7 @@
 //! The replicated log's state machine.
 
 use std::{
+    collections::BTreeMap,
     mem,
     time::Duration, //
 };
@@ -59,6 +60,8 @@
     pub(crate) actions: Vec<Action>,
     pub(crate) applied: Index,
     pub(crate) ballot: Ballot,
+    /// Data centres of the stores, by the store's name, as far as they have said.
+    pub(crate) centres: BTreeMap<Box<str>, Box<str>>,
     pub(crate) cluster: Option<ClusterId>,
     pub(crate) commit: Index,
     /// When the next election begins.
@@ -103,6 +106,7 @@
             actions: Vec::new(),
             applied: base.index,
             ballot: saved.ballot,
+            centres: BTreeMap::new(),
             cluster: saved.cluster,
             commit: base.index,
             deadline: Duration::ZERO,
@@ -135,6 +139,9 @@
             Event::Found(cluster, members) => self.found(cluster, members),
             Event::Init(cluster, member) => self.init(cluster, member),
             Event::Join(member) => self.join(member),
+            Event::Locate(name, centre) => {
+                self.centres.insert(name, centre);
+            }
             Event::Message(message) => self.receive(message),
             Event::Publish(publication, token) => self.publish(publication, token),
             Event::Read(token) => self.read(token),
--- a/crates/store/src/roster.rs
+++ b/crates/store/src/roster.rs
@@ -1,6 +1,7 @@
 //! The members that a leader keeps by itself, out of the stores that ask to be taken in.
 //!
-//! Each step changes one member, and waits until the step before it is committed.
+//! Each step changes one member, and waits until the step before it is committed. Voters are spread
+//! over data centres, so that the loss of a whole one leaves a quorum wherever that is possible.
 
 use std::time::Duration;
 
@@ -13,7 +14,8 @@
     },
     proposal::removed,
     raft::Raft,
-    role::Role, //
+    role::Role,
+    spread::Spread, //
 };
 
 /// Patiences after which a learner that is silent is no member any more.
@@ -56,22 +58,31 @@
     fn next_members(&self, wanted: usize) -> Option<Members> {
         let members = self.log.members();
         let patience = self.timing.patience;
-        let voters = members.0.iter().filter(|member| member.voter);
-        let count = voters.clone().count();
-        let lost = voters
-            .map(|member| member.id)
-            .find(|id| self.silence(*id) > patience);
+        let spread = Spread::new(members, &self.centres);
+        let voters = || members.0.iter().filter(|member| member.voter);
         let learners = || members.0.iter().filter(|member| !member.voter);
+        let lost = voters().find(|voter| self.silence(voter.id) > patience);
+        let crowded = voters()
+            .filter(|voter| voter.id != self.id && spread.crowded(voter))
+            .max_by_key(|voter| spread.beside(voter));
         let caught = learners()
-            .map(|member| member.id)
-            .find(|id| self.caught(*id));
+            .filter(|learner| self.caught(learner.id))
+            .min_by_key(|learner| spread.beside(learner));
         let stale = learners()
-            .map(|member| member.id)
+            .map(|learner| learner.id)
             .find(|id| self.silence(*id) > patience * LEARNER_PATIENCES);
-        match (lost, caught, stale) {
-            (_, Some(learner), _) if count < wanted => Some(members.with_voter(learner)),
-            (Some(_), Some(learner), _) if count == wanted => Some(members.with_voter(learner)),
-            (Some(voter), _, _) if count > wanted => removed(members, voter).ok(),
+        let evens = |learner, voter| spread.beside(learner) + 1 < spread.beside(voter);
+        let superfluous = lost.or(crowded);
+        match (superfluous, caught, stale) {
+            (_, Some(learner), _) if voters().count() < wanted => {
+                Some(members.with_voter(learner.id))
+            }
+            (Some(voter), Some(learner), _)
+                if voters().count() == wanted && (lost.is_some() || evens(learner, voter)) =>
+            {
+                Some(members.with_voter(learner.id))
+            }
+            (Some(voter), _, _) if voters().count() > wanted => removed(members, voter.id).ok(),
             (_, _, Some(learner)) => Some(members.without(learner)),
             (_, _, None) => None,
         }
--- a/crates/store/tests/world/mod.rs
+++ b/crates/store/tests/world/mod.rs
@@ -158,6 +158,16 @@
         world
     }
 
+    /// Tells all stores in which data centre each of them stands.
+    pub fn locate(&mut self, centres: &[&str]) {
+        for number in 0..self.nodes.len() {
+            for (other, centre) in centres.iter().enumerate() {
+                let name = member(other).name;
+                self.event(number, Event::Locate(name, (*centre).into()));
+            }
+        }
+    }
+
     /// Lets each store that is no member ask the leader to be taken in.
     pub fn join(&mut self) {
         let Some(leader) = self.leader() else {
