Entries that start without a quorum anywhere place flows by the document last known

Cause: an entry that starts waits for a store with a quorum before it places a flow. In a data centre that is cut off, or while only one store is back after a loss of all power, it served nobody, though the store beside it knew routes and endpoints. A store alone does not know which of its log's last entries are committed.

Ruled out: an uncommitted entry as a hint (it may never come into force); less patience at the entry with a quorum in reach (it would go by a lagging store's document).

Change: stores keep the document in force in a file of its own, look twice a second; an entry that has reached no store with a quorum for 100 ms after its first document places by it, says that it is not ready, and stays silent on routes that it lacks. A store tells entries at once when it is current again.

--- a/crates/edge/src/endpoint_file.rs
+++ b/crates/edge/src/endpoint_file.rs
@@ -11,9 +11,11 @@
     Record,
     Registry, //
 };
-use compio::runtime::ResumeUnwind as _;
 
-use crate::state::StoreState;
+use crate::{
+    kept_file::KeptFile,
+    state::StoreState, //
+};
 
 /// Name of the file in the data folder.
 const FILE: &str = "endpoints";
@@ -24,17 +26,13 @@
 /// Takes in what the disk holds. A file that cannot be read is no loss: endpoints announce
 /// themselves again.
 pub fn load(data: &Path, now: Duration, registry: &mut Registry) {
-    match store::read::<Vec<Record>>(&data.join(FILE)) {
-        Ok(records) => {
-            for mut record in records.into_iter().flatten() {
-                if !record.departed {
-                    // Nobody can tell whether it ended meanwhile; it has as long to be heard again.
-                    record.age = 0;
-                }
-                registry.merge(now, record);
-            }
+    let records: Option<Vec<Record>> = KeptFile::new(data.into(), FILE).load();
+    for mut record in records.into_iter().flatten() {
+        if !record.departed {
+            // Nobody can tell whether it ended meanwhile; it has as long to be heard again.
+            record.age = 0;
         }
-        Err(error) => log::warn!(code = error.code().number(); "{error}"),
+        registry.merge(now, record);
     }
 }
 
@@ -43,7 +41,8 @@
     let Some(data) = state.settings.data.clone() else {
         return;
     };
-    let (mut kept, mut failed) = (0, false);
+    let mut file = KeptFile::new(data, FILE);
+    let mut kept = 0;
     loop {
         compio::time::sleep(LOOK).await;
         let now = state.clock.now();
@@ -52,16 +51,8 @@
             continue;
         }
         let records = state.registry.borrow().changed(now, 0);
-        let data = data.clone();
-        let task = compio::runtime::spawn_blocking(move || store::write(&data, FILE, &records));
-        match task.await.resume_unwind() {
-            Some(Ok(_)) => (kept, failed) = (count, false),
-            Some(Err(error)) if failed => log::debug!("{error}"),
-            Some(Err(error)) => {
-                failed = true;
-                log::warn!(code = error.code().number(); "{error}");
-            }
-            None => return,
+        if file.replace(records).await {
+            kept = count;
         }
     }
 }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -197,7 +197,8 @@
         }
         let mut view = entry.view.borrow_mut();
         if view.take(entry.clock.now(), slot, push, B::tag) {
-            log::info!(version = view.version(); "a later document is in force");
+            let (version, confirmed) = (view.version(), view.confirmed());
+            log::info!(version, confirmed; "a later document is in force");
         }
     }
 }
--- a/crates/edge/src/run_store.rs
+++ b/crates/edge/src/run_store.rs
@@ -37,6 +37,7 @@
     Member,
     Members,
     Message,
+    Publication,
     StoreId,
     Timing, //
 };
@@ -45,6 +46,7 @@
     border::Border,
     clock::Clock,
     control::Control,
+    document_file,
     endpoint_file,
     error::Error,
     links,
@@ -93,6 +95,7 @@
     );
     spawn(serve::accept(state.clone(), inner)).detach();
     spawn(drive::<B>(state.clone(), folder)).detach();
+    spawn(document_file::persist(state.clone())).detach();
     spawn(endpoint_file::persist(state.clone())).detach();
     spawn(tick(state.clone())).detach();
     let face = Control::<B>::new(state.clone());
@@ -163,7 +166,7 @@
         changed: Wake::new(),
         clock,
         copied: Wake::new(),
-        document: RefCell::default(),
+        document: RefCell::new(document_file::load(&data)),
         loads: RefCell::default(),
         member: member(own, folder.id()),
         metrics: Metrics::new(),
@@ -242,6 +245,8 @@
 /// The process around the store's driver.
 struct Around<'a, B> {
     border: std::marker::PhantomData<B>,
+    /// Whether the store had all that a quorum had when events were handled last.
+    current: Cell<bool>,
     state: &'a StoreState,
     /// Version of the publication that was decoded last.
     version: Cell<u64>,
@@ -250,22 +255,16 @@
 async fn drive<B: Border>(state: Rc<StoreState>, folder: Folder) {
     let around = Around::<B> {
         border: std::marker::PhantomData,
+        current: Cell::new(false),
         state: &state,
-        version: Cell::new(0),
+        version: Cell::new(state.version()),
     };
     around.handled();
     replica::run(&around, folder).await;
 }
 
-impl<B: Border> Surroundings for Around<'_, B> {
-    fn handled(&self) {
-        let replica = self.state.replica.borrow();
-        let Some(held) = replica.ledger().published() else {
-            return;
-        };
-        if held.version <= self.version.get() {
-            return;
-        }
+impl<B: Border> Around<'_, B> {
+    fn enforce(&self, held: &Publication) {
         self.version.set(held.version);
         match B::document(&held.bytes) {
             Ok(document) => {
@@ -276,8 +275,22 @@
                 log::error!(code = code.number(), version = held.version; "{advice}");
             }
         }
-        drop(replica);
-        self.state.changed.notify(usize::MAX);
+    }
+}
+
+impl<B: Border> Surroundings for Around<'_, B> {
+    fn handled(&self) {
+        let replica = self.state.replica.borrow();
+        let current = replica.raft().current(self.state.clock.now());
+        let regained = !self.current.replace(current) && current;
+        let held = replica.ledger().published();
+        let later = held.filter(|held| held.version > self.version.get());
+        if let Some(held) = later {
+            self.enforce(held);
+        }
+        if regained || later.is_some() {
+            self.state.changed.notify(usize::MAX);
+        }
     }
 
     fn now(&self) -> Duration {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -92,6 +92,12 @@
         sum(loads.values().flat_map(|report| &report.loads))
     }
 
+    /// Version of the document that entries are told of; 0 if there is none.
+    pub fn version(&self) -> u64 {
+        let document = self.document.borrow();
+        document.as_ref().map_or(0, |document| document.version)
+    }
+
     /// What all entries but one see, as far as it was told lately; nothing for an entry that
     /// reports to another store and gets it there.
     pub fn elsewhere(&self, name: &str) -> Vec<Loaded> {
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -46,6 +46,11 @@
 /// The followed store that gets this entry's loads and tells those of the others.
 pub const REPORTED: usize = 0;
 
+/// Time for which an entry that has started waits for a store with a quorum before it places flows by
+/// a document that none has confirmed: a store that has a quorum hears so from its leader within
+/// 100 ms.
+const UNCONFIRMED: Duration = Duration::from_millis(100);
+
 /// What one followed store says.
 #[derive(Clone, Debug, Default)]
 struct Source {
@@ -72,6 +77,8 @@
     centre: Box<str>,
     /// Whether a store that was current has told all that it knew.
     confirmed: bool,
+    /// Since when it has held a document.
+    held: Option<Duration>,
     /// Until when endpoints may be missing only because they have not announced themselves yet.
     learning: Duration,
     /// The endpoints and flows.
@@ -93,6 +100,7 @@
         Self {
             centre: centre.into(),
             confirmed: false,
+            held: None,
             learning,
             pool: Pool::new(),
             // Silence is the stores' to tell: an entry hears of an endpoint only when it changes.
@@ -140,6 +148,19 @@
         self.confirmed && self.version > 0 && usable
     }
 
+    /// Whether a store with a quorum has confirmed the document since the entry started.
+    pub const fn confirmed(&self) -> bool {
+        self.confirmed
+    }
+
+    /// Whether flows may be placed by the document that the entry holds. After a loss of all power, or in
+    /// a data centre that is cut off, no store may have a quorum for long; callers are then served by what
+    /// the stores last knew to be in force.
+    fn places(&self, now: Duration) -> bool {
+        let waited = |since| now.saturating_sub(since) >= UNCONFIRMED;
+        self.confirmed || self.held.is_some_and(waited)
+    }
+
     /// Takes in what a followed store says; returns whether a later document came into force.
     pub fn take(
         &mut self,
@@ -173,7 +194,10 @@
         for loaded in push.loads {
             self.share(loaded);
         }
-        self.confirmed |= push.current && self.version > 0;
+        if self.version > 0 {
+            self.held.get_or_insert(now);
+            self.confirmed |= push.current;
+        }
         renewed
     }
 
@@ -229,10 +253,15 @@
                 self.pool
                     .pass(now, flow, packet.reference, progress, repeatable)
             }
-            Kind::Open(_) if !self.confirmed => Err(Code::EntryStarting),
+            Kind::Open(_) if !self.places(now) => Err(Code::EntryStarting),
             Kind::Open(_) => {
                 let FlowKey { route, .. } = packet.flow;
-                let destination = self.routes.get(&route).ok_or(Code::PacketAddress)?;
+                let unknown = match self.confirmed {
+                    true => Code::PacketAddress,
+                    // A later document may have it.
+                    false => Code::EntryStarting,
+                };
+                let destination = self.routes.get(&route).ok_or(unknown)?;
                 let targets = &destination.targets;
                 match self.pool.open(now, packet.flow, targets, random) {
                     Err(Code::FlowNoEndpoint) if now < self.learning => Err(Code::EntryStarting),
--- a/crates/edge/tests/view.rs
+++ b/crates/edge/tests/view.rs
@@ -133,6 +133,28 @@
     assert_eq!(world.route(at(30), &open(1)), Ok("i-1".into()));
 }
 
+/// All machines lost power and one store is back, or a data centre is cut off from all others.
+#[test]
+fn route_no_quorum_anywhere() {
+    let mut world = World::new();
+    let mut stale = push(Some(document(7, &["s"])), vec![record("i-1", 1, false)]);
+    stale.current = false;
+    world.take(0, stale);
+    assert_eq!(world.route(at(109), &open(1)), Err(Code::EntryStarting));
+    assert_eq!(world.route(at(110), &open(1)), Ok("i-1".into()));
+    assert!(!world.view.ready());
+    let mut elsewhere = open(2);
+    elsewhere.flow.route = "198.18.0.9:1".parse().unwrap();
+    assert_eq!(
+        world.route(at(110), &elsewhere),
+        Err(Code::EntryStarting),
+        "a later document may have the route"
+    );
+    world.take(1, push(Some(document(8, &["s"])), vec![]));
+    assert_eq!(world.view.version(), 8);
+    assert_eq!(world.route(at(120), &elsewhere), Err(Code::PacketAddress));
+}
+
 #[test]
 fn route_endpoints_not_heard_of_yet() {
     let mut world = World::new();
