--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -1,18 +1,17 @@
 //! The way of a packet: from a router in, to an endpoint or as a reset to its caller out.
 
 use std::{
+    io,
     net::{
         SocketAddr,
-        SocketAddrV4, //
+        SocketAddrV4,
+        UdpSocket, //
     },
     rc::Rc,
 };
 
 use codes::Code;
-use compio::{
-    BufResult,
-    net::UdpSocket, //
-};
+use compio::runtime::fd::PollFd;
 
 use crate::{
     border::{
@@ -25,26 +24,61 @@
 /// Largest datagram of a router, in bytes: one that fits into a frame of the network.
 const DATAGRAM_BYTES: usize = 2048;
 
+/// Datagrams that are taken in one turn: the other tasks wait for less than a millisecond.
+const BATCH: usize = 64;
+
 /// Forwards packets until the process ends.
-pub async fn forward<B: Border>(entry: Rc<Entry>, socket: Rc<UdpSocket>, port: u16) {
-    let mut buffer = Vec::with_capacity(DATAGRAM_BYTES);
+///
+/// One wait for the socket serves all datagrams that have come by then, each with two system calls.
+pub async fn forward<B: Border>(entry: Rc<Entry>, socket: Rc<PollFd<UdpSocket>>, port: u16) {
+    let mut buffer = [0; DATAGRAM_BYTES];
     let mut out = Vec::with_capacity(DATAGRAM_BYTES);
     loop {
-        let BufResult(received, filled) = socket.recv_from(buffer).await;
-        buffer = filled;
-        if received.is_ok() {
-            entry.packet.set(entry.clock.now());
-            entry.decisions.metrics.packets.inc();
-            out.clear();
-            if let Some(to) = step::<B>(&entry, &buffer, port, &mut out) {
-                let BufResult(sent, returned) = socket.send_to(out, to).await;
-                out = returned;
-                if let Err(error) = sent {
-                    entry.decisions.unsent(&error);
+        if let Err(error) = socket.read_ready().await {
+            entry.decisions.unsent(&error);
+            continue;
+        }
+        for _ in 0..BATCH {
+            match socket.recv(&mut buffer) {
+                Ok(length) => {
+                    let datagram = buffer.get(..length).unwrap_or_default();
+                    take::<B>(&entry, &socket, datagram, port, &mut out).await;
                 }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                // What an earlier datagram met on its way; the next one may get through.
+                Err(error) => entry.decisions.unsent(&error),
             }
         }
-        buffer.clear();
+    }
+}
+
+async fn take<B: Border>(
+    entry: &Entry,
+    socket: &PollFd<UdpSocket>,
+    datagram: &[u8],
+    port: u16,
+    out: &mut Vec<u8>,
+) {
+    entry.packet.set(entry.clock.now());
+    entry.decisions.metrics.packets.inc();
+    out.clear();
+    let sent = match step::<B>(entry, datagram, port, out) {
+        Some(to) => send(socket, out, to).await,
+        None => Ok(()),
+    };
+    if let Err(error) = sent {
+        entry.decisions.unsent(&error);
+    }
+}
+
+/// Sends a datagram, once there is room for it.
+async fn send(socket: &PollFd<UdpSocket>, bytes: &[u8], to: SocketAddr) -> io::Result<()> {
+    match socket.send_to(bytes, to) {
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+            socket.write_ready().await?;
+            socket.send_to(bytes, to).map(drop)
+        }
+        result => result.map(drop),
     }
 }
 
--- a/crates/edge/src/run_entry.rs
+++ b/crates/edge/src/run_entry.rs
@@ -1,19 +1,21 @@
 //! Running an entry: its faces, its followers of stores, and its planned stop.
 
 use std::{
-    net::SocketAddrV4,
+    net::{
+        SocketAddrV4,
+        UdpSocket, //
+    },
     path::Path,
     rc::Rc,
     time::Duration, //
 };
 
 use compio::{
-    BufResult,
-    net::{
-        TcpListener,
-        UdpSocket, //
+    net::TcpListener,
+    runtime::{
+        fd::PollFd,
+        spawn, //
     },
-    runtime::spawn,
 };
 use placement::Phase;
 use process::{
@@ -56,11 +58,12 @@
     let signals = Signals::new(handlers).map_err(Error::Runtime)?;
     let packets = settings.packets.ok_or(Error::Missing("packets"))?;
     let readiness = settings.readiness.ok_or(Error::Missing("readiness"))?;
-    let socket = UdpSocket::bind(packets).await.map_err(Error::Listen)?;
+    let socket = UdpSocket::bind(packets).map_err(Error::Listen)?;
+    socket.set_nonblocking(true).map_err(Error::Listen)?;
+    let socket = Rc::new(PollFd::new(socket).map_err(Error::Listen)?);
     let listener = TcpListener::bind(readiness).await.map_err(Error::Listen)?;
     let entry = Rc::new(Entry::new(settings));
     log::info!(name = &*entry.settings.name; "an entry has started");
-    let socket = Rc::new(socket);
     let port = packets.port();
     spawn(forward::<B>(entry.clone(), socket.clone(), port)).detach();
     spawn(process::serve(
@@ -94,7 +97,7 @@
     }
 }
 
-async fn tick<B: Border>(entry: Rc<Entry>, socket: Rc<UdpSocket>, port: u16) {
+async fn tick<B: Border>(entry: Rc<Entry>, socket: Rc<PollFd<UdpSocket>>, port: u16) {
     loop {
         compio::time::sleep(TICK).await;
         let now = entry.clock.now();
@@ -105,8 +108,7 @@
             B::reset(&packet, &mut out);
             entry.decisions.orphaned(&packet);
             let to = SocketAddrV4::new(*packet.flow.caller.ip(), port);
-            let BufResult(sent, _) = socket.send_to(out, to).await;
-            if let Err(error) = sent {
+            if let Err(error) = socket.send_to(&out, to) {
                 entry.decisions.unsent(&error);
             }
         }
