Members that leaders keep by themselves, modelled and explored with a lost disk

Change: with WANTED the model has one store more than voters; leaders take the vote of any voter, which stands for one that fell silent or whose data centre is crowded, and give it to a store that has caught up; one disk is lost. explore.rs tries all orders of eight steps after a committed edit whose second copy was just lost, with joins, on the real state machine.

--- a/crates/store/tests/explore.rs
+++ b/crates/store/tests/explore.rs
@@ -64,7 +64,8 @@
     }
 
     /// All states one step on: a message arrives, a time runs out, a store is started again with
-    /// its disk or without, a leader takes an edit. A message that never arrives is lost.
+    /// its disk or without, a leader takes an edit, stores ask to be taken in where the leader keeps
+    /// the members by itself. A message that never arrives is lost.
     fn successors(&self, depth: usize) -> Vec<Self> {
         let mut next = Vec::new();
         if self.depth == depth || self.world.wrong.is_some() {
@@ -73,6 +74,9 @@
         for place in 0..self.world.network.len() {
             next.push(self.next(|step| step.world.deliver(place)));
         }
+        if self.world.timing.voters.is_some() {
+            next.push(self.next(|step| step.world.join()));
+        }
         for number in 0..self.world.nodes.len() {
             next.push(self.next(|step| step.world.tick(number)));
             if self.crashes == 0 {
@@ -99,8 +103,12 @@
 
 /// Number of distinct states within the depth, or the first one that is wrong.
 fn explore(world: World, depth: usize) -> Result<usize, String> {
+    explore_from(Step::new(world), depth)
+}
+
+fn explore_from(first: Step, depth: usize) -> Result<usize, String> {
     let mut count = 0;
-    for step in bfs_reach(Step::new(world), |step| step.successors(depth)) {
+    for step in bfs_reach(first, |step| step.successors(depth)) {
         count += 1;
         if let Some(wrong) = step.world.wrong {
             return Err(wrong);
@@ -144,6 +152,46 @@
     world
 }
 
+/// Four stores of which three vote: the leader and one more committed an edit that the third one
+/// lacks, and that other one has just lost its disk. The fourth one is a learner.
+fn disk_lost() -> World {
+    let mut world = World::founded(4, 3, Timing::new().with_voters(3));
+    let all = [0, 1, 2, 3];
+    for _ in 0..8 {
+        world.tick(0);
+        world.settle(&all);
+        world.join();
+        world.settle(&all);
+    }
+    assert_eq!(world.leader(), Some(0));
+    assert_eq!(world.nodes[0].raft.members().0.len(), 4);
+    world.event(0, Event::Edit(world::edit("first", 0), Token(1)));
+    world.settle(&[0, 1]);
+    assert!(world.answers.contains_key(&Token(1)));
+    world.wipe(1, StoreId(99));
+    world.network.clear();
+    world
+}
+
+#[test]
+fn explore_disk_lost() {
+    let mut step = Step::new(disk_lost());
+    // One disk at a time: none but the lost one.
+    step.crashes = 1;
+    let count = explore_from(step, 8).unwrap();
+    println!("{count} states from a lost disk to depth 8");
+}
+
+/// The only other copy is lost with the first one's disk: more than may be lost at once.
+#[test]
+fn explore_two_disks_lost() {
+    let mut world = disk_lost();
+    world.fault = Fault::Forget;
+    world.crash(0);
+    let wrong = explore_from(Step::new(world), 8).unwrap_err();
+    assert!(wrong.starts_with("lost"), "{wrong}");
+}
+
 #[test]
 fn explore_fresh_stores() {
     let count = explore(fresh(), 8).unwrap();
--- a/models/log.pml
+++ b/models/log.pml
@@ -1,11 +1,21 @@
 /*
  * The core of the replicated log: election, commit, lost disks and change of members.
  *
- * Three slots hold a store each. A store that lost its disk gets a new id. Exchanges between two
+ * Each slot holds a store. A store that lost its disk gets a new id. Exchanges between two
  * stores are atomic and may never happen. UNSYNCED and KEEPS are faults that the check must find.
+ *
+ * With WANTED, leaders keep that many voters by themselves out of one store more: they take a vote
+ * from any voter, since it may have fallen silent, and give it to a store that has caught up. TWICE,
+ * which does not wait for the change before, is a fault too.
  */
 
+#ifdef WANTED
+#define N (WANTED + 1)
+#define FOUNDERS WANTED
+#else
 #define N 3
+#define FOUNDERS 3
+#endif
 #define NONE 255
 
 #ifndef ENTRIES
@@ -15,6 +25,10 @@
 #define TERMS 4
 #endif
 
+#ifndef CRASHES
+#define CRASHES 1
+#endif
+
 #define FOLLOWER 0
 #define CANDIDATE 1
 #define LEADER 2
@@ -24,7 +38,7 @@
 #define AT(i, k) ((i) * ENTRIES + (k))
 #define LAST(i) log_term[AT(i, length[i] - 1)]
 #define SIZE(m) (((m) & 1) + (((m) >> 1) & 1) + (((m) >> 2) & 1) \
-    + (((m) >> 3) & 1) + (((m) >> 4) & 1) + (((m) >> 5) & 1))
+    + (((m) >> 3) & 1) + (((m) >> 4) & 1) + (((m) >> 5) & 1) + (((m) >> 6) & 1) + (((m) >> 7) & 1))
 
 byte term[N] = 1;
 byte vote[N] = NONE;
@@ -204,11 +218,37 @@
     fi
 }
 
+#ifdef TWICE
+#define SETTLED 1
+#else
+#define SETTLED (named < commit[i] && log_term[AT(i, commit[i] - 1)] == term[i])
+#endif
+
+#ifdef WANTED
+/*
+ * Leader i removes the id that the store in slot j lost with its disk; else gives j a vote, one more
+ * than wanted if need be, or takes the superfluous one from it.
+ */
+inline change(i, j) {
+    view(i);
+    compare(i, j, commit[i]);
+    if
+    :: SETTLED && gen[j] == 1 && (members & (1 << j)) -> push(i, members & ~(1 << j))
+    :: SETTLED && !(gen[j] == 1 && (members & (1 << j))) ->
+        if
+        :: same && !(members & BIT(j)) && SIZE(members) <= WANTED -> push(i, members | BIT(j))
+        :: (members & BIT(j)) && SIZE(members) > WANTED -> push(i, members & ~BIT(j))
+        :: else
+        fi
+    :: else
+    fi
+}
+#else
 /* Leader i removes the id that the store in slot j lost with its disk, or adds its new one. */
 inline change(i, j) {
     view(i);
     if
-    :: named < commit[i] && log_term[AT(i, commit[i] - 1)] == term[i] && gen[j] == 1 ->
+    :: SETTLED && gen[j] == 1 ->
         if
         :: members & (1 << j) -> push(i, members & ~(1 << j))
         :: else ->
@@ -221,6 +261,7 @@
     :: else
     fi
 }
+#endif
 
 inline crash(i) {
     crashes++;
@@ -261,7 +302,11 @@
     d_step {
         i = 0;
         do
-        :: i < N -> log_term[AT(i, 0)] = 1; log_members[AT(i, 0)] = 7; i++
+        :: i < FOUNDERS -> log_term[AT(i, 0)] = 1; log_members[AT(i, 0)] = (1 << FOUNDERS) - 1; i++
+        :: else -> break
+        od;
+        do
+        :: i < N -> term[i] = 0; disk_term[i] = 0; length[i] = 0; commit[i] = 0; i++
         :: else -> break
         od;
         chosen[0] = 1;
@@ -269,8 +314,8 @@
     }
     do
     :: atomic {
-        select(i : 0 .. 2);
-        select(j : 0 .. 2);
+        select(i : 0 .. N - 1);
+        select(j : 0 .. N - 1);
         if
         :: i == j && term[i] < TERMS && role[i] != LEADER && length[i] > 0 ->
             d_step { view(i); if :: MEMBER(i) -> stand(i) :: else fi }
@@ -281,7 +326,7 @@
         :: i == j && role[i] == LEADER && commit[i] < length[i] -> d_step { settle(i) }
         :: i == j && role[i] == LEADER && length[i] < ENTRIES -> d_step { push(i, 0) }
         :: i != j && role[i] == LEADER && length[i] < ENTRIES -> d_step { change(i, j) }
-        :: i == j && crashes == 0 -> d_step { crash(i) }
+        :: i == j && crashes < CRASHES -> d_step { crash(i) }
         :: i == j && wipes == 0 -> d_step { wipe(i); s = 0 }
         :: else
         fi;
