Flows leave their region only where its endpoints have long queues

Cause: a choice took all other data centres for equally near. With several regions, tens of milliseconds apart, half of the flows that left a crowded data centre went to another region.

Change: settings name the region of each data centre; endpoints are drawn by distance (four of the own data centre, of the region, of other regions), and the way to another region counts four requests a slot, about what an endpoint's queue holds.

--- a/crates/edge/src/decisions.rs
+++ b/crates/edge/src/decisions.rs
@@ -89,7 +89,7 @@
         log::info!(
             caller, route, copy, version, endpoint = &*endpoint.name,
             incarnation = endpoint.incarnation, phase = format!("{:?}", endpoint.phase),
-            local = endpoint.local, busy = load.busy, flows = load.flows,
+            distance = format!("{:?}", endpoint.distance), busy = load.busy, flows = load.flows,
             own_busy = own.busy, own_flows = own.flows;
             "a flow was placed"
         );
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -18,6 +18,7 @@
     clock::Clock,
     decisions::Decisions,
     metrics::Metrics,
+    place::Place,
     settings::Settings,
     view::View, //
 };
@@ -44,6 +45,7 @@
 impl Entry {
     /// Creates the state of an entry that knows nobody yet.
     pub fn new(settings: Settings) -> Self {
+        let place = Place::new(&settings.centre).with_regions(settings.regions.clone());
         Self {
             clock: Clock::new(),
             decisions: Decisions::new(Metrics::new()),
@@ -51,7 +53,7 @@
             random: RefCell::new(ChaCha8Rng::seed_from_u64(rand::random())),
             seeds: RefCell::new(settings.seeded()),
             stop: Rc::default(),
-            view: RefCell::new(View::new(&settings.centre, settings.heartbeat() + LEARN)),
+            view: RefCell::new(View::new(place, settings.heartbeat() + LEARN)),
             settings,
         }
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -27,6 +27,7 @@
 mod metrics;
 mod pages;
 mod peers;
+mod place;
 mod ready;
 mod reload;
 mod run;
@@ -59,6 +60,7 @@
         Push, //
     },
     peers::Peers,
+    place::Place,
     run::run,
     settings::{
         Role,
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -1,6 +1,7 @@
 //! The settings of an entry or a store.
 
 use std::{
+    collections::BTreeMap,
     fs,
     net::{
         Ipv4Addr,
@@ -62,6 +63,9 @@
     pub readiness: Option<SocketAddrV4>,
     /// Address at which entries and other stores reach this one, if it is not its own.
     pub reached: Option<Ipv4Addr>,
+    /// Regions by data centre; those that are not named count as one region.
+    #[serde(default)]
+    pub regions: BTreeMap<Box<str>, Box<str>>,
     /// What the process does.
     pub role: Role,
     /// Control addresses of some stores.
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -38,6 +38,7 @@
         Loaded,
         Push, //
     },
+    place::Place,
 };
 
 /// Stores that an entry follows at once: one may be cut off from the others without knowing.
@@ -73,14 +74,14 @@
 /// What an entry knows.
 #[derive(Debug)]
 pub struct View {
-    /// Its own data centre.
-    centre: Box<str>,
     /// Whether a store that was current has told all that it knew.
     confirmed: bool,
     /// Since when it has held a document.
     held: Option<Duration>,
     /// Until when endpoints may be missing only because they have not announced themselves yet.
     learning: Duration,
+    /// Where it stands.
+    place: Place,
     /// The endpoints and flows.
     pool: Pool,
     /// What was announced; keeps older records from replacing later ones.
@@ -96,12 +97,12 @@
     ///
     /// For the time `learning` after the start, it takes services without an endpoint for ones whose
     /// endpoints it has not heard of yet.
-    pub fn new(centre: &str, learning: Duration) -> Self {
+    pub fn new(place: Place, learning: Duration) -> Self {
         Self {
-            centre: centre.into(),
             confirmed: false,
             held: None,
             learning,
+            place,
             pool: Pool::new(),
             // Silence is the stores' to tell: an entry hears of an endpoint only when it changes.
             registry: Registry::new(Duration::MAX / 4),
@@ -362,10 +363,8 @@
             .with_slots(own.slots)
             .with_tag(tag(name).unwrap_or_default())
             .with_warm(warm);
-        self.pool.update(match own.centre == self.centre {
-            true => endpoint,
-            false => endpoint.with_remote(),
-        });
+        let distance = self.place.distance(&own.centre);
+        self.pool.update(endpoint.with_distance(distance));
     }
 
     fn share(&mut self, loaded: Loaded) {
--- a/crates/edge/tests/settings.rs
+++ b/crates/edge/tests/settings.rs
@@ -39,6 +39,17 @@
     assert_eq!(seeds[0], "10.0.0.2:7720".parse().unwrap());
 }
 
+#[test]
+fn read_regions() {
+    let text = format!("{ENTRY}[regions]\nporto-a = \"pt-norte\"\n");
+    let regions = read(&text).unwrap().regions;
+    assert_eq!(
+        regions.get("porto-a").map(|region| &**region),
+        Some("pt-norte")
+    );
+    assert!(read(ENTRY).unwrap().regions.is_empty());
+}
+
 #[test]
 fn read_fractions() {
     let text = ENTRY.replace("stop = 6", "stop = 2.5");
--- a/crates/edge/tests/view.rs
+++ b/crates/edge/tests/view.rs
@@ -13,6 +13,7 @@
     Kind,
     Loaded,
     Packet,
+    Place,
     Push,
     Route,
     Share,
@@ -99,7 +100,7 @@
     fn new() -> Self {
         Self {
             random: ChaCha8Rng::seed_from_u64(1),
-            view: View::new("a", LEARNING),
+            view: View::new(Place::new("a"), LEARNING),
         }
     }
 
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -7,9 +7,12 @@
     seq::SliceRandom as _, //
 };
 
-use crate::endpoint::{
-    Endpoint,
-    Phase, //
+use crate::{
+    distance::Distance,
+    endpoint::{
+        Endpoint,
+        Phase, //
+    },
 };
 
 /// What an open flow without a request in work counts, in requests. Most flows are idle most of the
@@ -20,6 +23,10 @@
 /// work, but a flow that stays at home survives a cut (weighed in docs/design/platform.md).
 const HOP_WEIGHT: f64 = 2.0;
 
+/// What the way to another region counts: tens of milliseconds, as long as a request takes. It is worth
+/// it only where the endpoints of the own region have long queues.
+const FAR_WEIGHT: f64 = 4.0;
+
 /// Speed of an endpoint that has just started, beside one that is warm. Endpoints announce how long
 /// they stay slow, not how slow; a start commonly takes half as long again for each request.
 const COLD_SPEED: f64 = 0.6;
@@ -28,8 +35,8 @@
 /// mean of a few requests says little more.
 const SLOWEST: f64 = 0.2;
 
-/// Endpoints of the own data centre, and of the others, that are drawn for each choice: two give
-/// most of the gain, four choose better among the few of a small data centre.
+/// Endpoints at each distance that are drawn for each choice: two give most of the gain, four choose
+/// better among the few of a small data centre.
 const DRAWN: usize = 4;
 
 /// How good an endpoint is for a new flow.
@@ -61,9 +68,10 @@
         Some(work) => (usual / work).clamp(SLOWEST, 1.0),
         None => 1.0,
     };
-    let hop = match endpoint.local {
-        true => 0.0,
-        false => HOP_WEIGHT,
+    let hop = match endpoint.distance {
+        Distance::Centre => 0.0,
+        Distance::Region => HOP_WEIGHT,
+        Distance::Far => FAR_WEIGHT,
     };
     let requests = 1.0 + f64::from(load.busy) + f64::from(load.flows) * FLOW_WEIGHT;
     requests / (f64::from(endpoint.slots.max(1)) * speed) + hop
@@ -91,9 +99,13 @@
     let count = u32::try_from(works.len()).map_or(1.0, f64::from);
     let usual = works.iter().sum::<f64>() / f64::max(count, 1.0);
     usable.shuffle(random);
-    let (local, remote): (Vec<_>, Vec<_>) =
-        usable.iter().partition(|(_, _, endpoint)| endpoint.local);
-    let drawn = local.iter().take(DRAWN).chain(remote.iter().take(DRAWN));
+    let drawn = [Distance::Centre, Distance::Region, Distance::Far].map(|distance| {
+        let near = usable
+            .iter()
+            .filter(move |(_, _, endpoint)| endpoint.distance == distance);
+        near.take(DRAWN)
+    });
+    let drawn = drawn.into_iter().flatten();
     let costs = drawn.map(|(_, key, endpoint)| (cost(now, endpoint, usual), *key));
     costs
         .min_by(|(one, _), (other, _)| one.total_cmp(other))
--- a/crates/placement/src/endpoint.rs
+++ b/crates/placement/src/endpoint.rs
@@ -6,6 +6,7 @@
 };
 
 use crate::{
+    distance::Distance,
     load::Load,
     reference::Reference,
     request::Request, //
@@ -55,12 +56,12 @@
 pub struct Endpoint {
     /// Where it takes packets.
     pub address: SocketAddrV4,
+    /// How far it is from the entry.
+    pub distance: Distance,
     /// What other entries told of its load.
     pub elsewhere: Load,
     /// Start of its process; tells its incarnations apart.
     pub incarnation: u64,
-    /// Whether it stands in the entry's own data centre.
-    pub local: bool,
     /// Its name.
     pub name: Box<str>,
     /// How far it may be used.
@@ -95,9 +96,9 @@
         Self {
             address,
             avoid: (Duration::ZERO, 0),
+            distance: Distance::Centre,
             elsewhere: Load::default(),
             incarnation,
-            local: true,
             name: name.into(),
             own: Load::default(),
             phase: Phase::Ready,
@@ -136,9 +137,9 @@
         self
     }
 
-    /// Puts it in another data centre than the entry.
-    pub const fn with_remote(mut self) -> Self {
-        self.local = false;
+    /// Sets how far it is from the entry; else it stands in the same data centre.
+    pub const fn with_distance(mut self, distance: Distance) -> Self {
+        self.distance = distance;
         self
     }
 
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -6,6 +6,7 @@
 //! no clock, socket or thread: times are arguments, and count from the process's start.
 
 mod choice;
+mod distance;
 mod endpoint;
 mod flow;
 mod load;
@@ -14,6 +15,7 @@
 mod request;
 
 pub use crate::{
+    distance::Distance,
     endpoint::{
         Endpoint,
         EndpointKey,
--- a/crates/placement/tests/load.rs
+++ b/crates/placement/tests/load.rs
@@ -6,6 +6,7 @@
 };
 
 use mimosausher_placement::{
+    Distance,
     Endpoint,
     FlowKey,
     Load,
@@ -45,7 +46,7 @@
                 let endpoint = Endpoint::new(&name, 1, address, service).with_slots(SLOTS);
                 pool.update(match number < local {
                     true => endpoint,
-                    false => endpoint.with_remote(),
+                    false => endpoint.with_distance(Distance::Region),
                 });
             }
             entries.push((pool, ChaCha8Rng::seed_from_u64(seed)));
@@ -126,6 +127,42 @@
     assert!((0..4).all(|number| !entries.placed.contains_key(format!("i-{number}").as_str())));
 }
 
+/// Several regions, one data centre of the own one crowded: flows overflow to the other data centre of
+/// the region, and to another region only once that one has long queues too.
+#[test]
+fn open_crowded_region() {
+    for (queued, expected) in [(1, Distance::Region), (6, Distance::Far)] {
+        let mut entries = Entries::new(1, 4, 8);
+        let (pool, _) = &mut entries.entries[0];
+        let service = pool.service("s");
+        for number in 8..12 {
+            let name = format!("i-{number}");
+            let address = format!("10.0.0.{number}:80").parse().unwrap();
+            let endpoint = Endpoint::new(&name, 1, address, service).with_slots(SLOTS);
+            pool.update(endpoint.with_distance(Distance::Far));
+        }
+        let load = |slots: u32| Load {
+            busy: slots * u32::from(SLOTS),
+            flows: 0,
+        };
+        for number in 0..4 {
+            entries.tell(&format!("i-{number}"), load(9));
+        }
+        for number in 4..8 {
+            entries.tell(&format!("i-{number}"), load(queued));
+        }
+        for port in 0..20 {
+            entries.open(Duration::ZERO, port);
+        }
+        let (pool, _) = &entries.entries[0];
+        let mut endpoints = pool.iter();
+        let placed = endpoints.all(|endpoint| {
+            endpoint.distance == expected || !entries.placed.contains_key(&endpoint.name)
+        });
+        assert!(placed, "{queued}: {:?}", entries.placed);
+    }
+}
+
 /// One endpoint works five times as long as the others: it gets fewer flows than its even share.
 #[test]
 fn open_slow_endpoint() {
