An audit trail of published documents on the platform's stores

Ruled out: lines for documents that are not valid: they never reach the group, and each store has them in its log.

Change: a publication carries the caller's address and the time of its receipt; the ledger keeps a line for each that came through the log, but repeats, with the version below it, its result and a CRC-32C of its bytes. Equal documents are equal whoever sent them. The audit's conversion, the time of day and queries' values stand once, in the packages replica and process.

--- a/crates/codes/src/lib.rs
+++ b/crates/codes/src/lib.rs
@@ -124,6 +124,7 @@
     PublicationInvalid = 5013, Not, "The document is not valid.";
     PublicationConflict = 5014, Not, "Another document is in force under the same version.";
     PublicationUnknown = 5015, May, "What became of the document is not known; send it again.";
+    PublicationSuperseded = 5016, Not, "A document with a higher version is in force; this one changes nothing.";
     MessageMalformed = 6001, Not, "A message between instances could not be decoded.";
     InstanceUnreachable = 6002, Not, "An instance could not be reached.";
 }
--- a/crates/daemon/src/clients.rs
+++ b/crates/daemon/src/clients.rs
@@ -67,13 +67,14 @@
     {
         let client = self.connect(address).await?;
         let call = call(client, context::current());
-        match compio::time::timeout(patience, call).await {
-            Ok(Ok(reply)) => Some(reply),
-            Ok(Err(_)) | Err(_) => {
-                self.open.borrow_mut().remove(&address);
-                None
-            }
-        }
+        let reason = match compio::time::timeout(patience, call).await {
+            Ok(Ok(reply)) => return Some(reply),
+            Ok(Err(error)) => error.to_string(),
+            Err(error) => error.to_string(),
+        };
+        log::debug!(instance = address.to_string(), reason; "a call to another instance is given up");
+        self.open.borrow_mut().remove(&address);
+        None
     }
 
     async fn connect(&self, address: SocketAddr) -> Option<Client> {
@@ -81,12 +82,16 @@
         if open.is_some() {
             return open;
         }
-        match compio::time::timeout(CONNECT_TIMEOUT, wire::connect(address)).await {
+        let connecting = wire::connect(address);
+        let reason = match compio::time::timeout(CONNECT_TIMEOUT, connecting).await {
             Ok(Ok(client)) => {
                 self.open.borrow_mut().insert(address, client.clone());
-                Some(client)
+                return Some(client);
             }
-            Ok(Err(_)) | Err(_) => None,
-        }
+            Ok(Err(error)) => error.to_string(),
+            Err(error) => error.to_string(),
+        };
+        log::debug!(instance = address.to_string(), reason; "another instance is not reached");
+        None
     }
 }
--- a/crates/daemon/src/convert.rs
+++ b/crates/daemon/src/convert.rs
@@ -7,7 +7,6 @@
 
 use store::{
     Edit,
-    Outcome,
     Version, //
 };
 /// The destination of a service's packets.
@@ -35,25 +34,6 @@
     }
 }
 
-/// An outcome as it is answered.
-pub fn outcome(from: Outcome) -> wire::Outcome {
-    match from {
-        Outcome::Accepted { revision, version } => wire::Outcome::Accepted {
-            revision: revision.0,
-            version: version.0,
-        },
-        Outcome::Refused {
-            advice,
-            code,
-            version,
-        } => wire::Outcome::Refused {
-            advice,
-            code,
-            version: version.0,
-        },
-    }
-}
-
 /// The header of a packet that another entry handed over.
 pub fn header(from: &wire::Handover) -> steering::Header {
     let ids = from.visited.map(steering::InstanceId);
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -6,17 +6,17 @@
         RefCell, //
     },
     rc::Rc,
-    time::{
-        Duration,
-        SystemTime, //
-    },
+    time::Duration, //
 };
 
 use compio::net::UdpSocket;
 use directory::Relay;
 use event_listener::Event;
 use membership::Members;
-use process::Stop;
+use process::{
+    Stop,
+    epoch_millis, //
+};
 use replica::Replica;
 use settings::Settings;
 use store::{
@@ -143,12 +143,3 @@
         (stored || (confirmed && revision > 0)) && !self.stop.begun()
     }
 }
-
-/// Milliseconds since the Unix epoch.
-pub fn epoch_millis() -> u64 {
-    SystemTime::now()
-        .duration_since(SystemTime::UNIX_EPOCH)
-        .ok()
-        .and_then(|elapsed| u64::try_from(elapsed.as_millis()).ok())
-        .unwrap_or_default()
-}
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -7,6 +7,7 @@
 
 use codes::Code;
 use hyper::Uri;
+use process::query_value;
 use serde::Serialize;
 use settings::Holder;
 use wire::{
@@ -70,7 +71,7 @@
 ///
 /// The refusal that the caller gets.
 pub async fn audit(node: &Node, uri: &Uri) -> Result<Vec<AuditLine>, Refusal> {
-    let count = match value(uri, "count").map(str::parse::<u32>) {
+    let count = match query_value(uri, "count").map(str::parse::<u32>) {
         Some(Ok(count)) => count,
         Some(Err(error)) => {
             let advice = format!("`count` is not a number: {error}");
@@ -78,7 +79,7 @@
         }
         None => AUDIT_LINES,
     };
-    let section = value(uri, "section").map(Into::into);
+    let section = query_value(uri, "section").map(Into::into);
     let lines = stores::audit(node, AuditQuery { count, section }).await;
     lines.ok_or_else(unread)
 }
@@ -89,7 +90,7 @@
 ///
 /// The refusal that the caller gets.
 pub async fn history(node: &Node, uri: &Uri) -> Result<Vec<PastVersion>, Refusal> {
-    let section = value(uri, "section").unwrap_or_default();
+    let section = query_value(uri, "section").unwrap_or_default();
     let versions = stores::history(node, section.into()).await;
     match versions {
         Some(versions) if versions.is_empty() => {
@@ -102,7 +103,7 @@
 
 /// Waits for a while until a revision later than the query's `revision` is in force.
 pub async fn watch(node: &Node, uri: &Uri) -> InForce {
-    let revision = value(uri, "revision").and_then(|text| text.parse().ok());
+    let revision = query_value(uri, "revision").and_then(|text| text.parse().ok());
     let listener = node.spread.updated.listen();
     if node.known.configuration.borrow().revision() <= revision.unwrap_or_default() {
         let _notified = compio::time::timeout(WATCH_WAIT, listener).await;
@@ -114,13 +115,6 @@
     }
 }
 
-/// The value of a key in an address's query.
-fn value<'a>(uri: &'a Uri, key: &str) -> Option<&'a str> {
-    let pairs = uri.query()?.split('&');
-    let mut pairs = pairs.filter_map(|pair| pair.split_once('='));
-    pairs.find(|(name, _)| *name == key).map(|(_, value)| value)
-}
-
 fn unread() -> Refusal {
     let advice = "no store that is in contact with a quorum can be reached";
     Refusal::new(Code::NoLeader, advice)
--- a/crates/daemon/src/proposals.rs
+++ b/crates/daemon/src/proposals.rs
@@ -7,6 +7,7 @@
 };
 
 use codes::Code;
+use process::epoch_millis;
 use store::{
     Answer,
     Change,
@@ -25,11 +26,9 @@
 };
 
 use crate::{
-    convert, links,
-    node::{
-        Node,
-        epoch_millis, //
-    },
+    convert,
+    links,
+    node::Node, //
 };
 
 /// Time after which the outcome of a request counts as unknown.
@@ -100,7 +99,7 @@
     };
     match compio::time::timeout(ANSWER_TIMEOUT, receiver).await {
         Ok(Ok(Answer::Changed)) => Decision::Changed,
-        Ok(Ok(Answer::Outcome(outcome))) => Decision::Outcome(convert::outcome(outcome)),
+        Ok(Ok(Answer::Outcome(outcome))) => Decision::Outcome(replica::outcome(outcome)),
         Ok(Ok(Answer::Refused(code, advice))) => Decision::Refused(code, advice),
         Ok(Ok(Answer::Current | Answer::Published(_)) | Err(_)) | Err(_) => {
             unknown("the store did not answer in time")
--- a/crates/daemon/src/serving.rs
+++ b/crates/daemon/src/serving.rs
@@ -13,7 +13,6 @@
 };
 
 use crate::{
-    convert,
     links,
     node::Node, //
 };
@@ -84,17 +83,7 @@
 /// The last lines of the audit trail, oldest first; none if this instance is no store.
 pub fn audit(node: &Node, query: &AuditQuery) -> Option<Vec<AuditLine>> {
     let replica = node.replica.as_ref()?.borrow();
-    let count = usize::try_from(query.count).unwrap_or(usize::MAX);
-    let wanted = |line: &&store::Audit| {
-        query
-            .section
-            .as_ref()
-            .is_none_or(|name| *name == line.section)
-    };
-    let trail = replica.ledger().audit().iter().rev();
-    let mut lines: Vec<_> = trail.filter(wanted).take(count).map(line).collect();
-    lines.reverse();
-    Some(lines)
+    Some(replica::trail(&replica, query))
 }
 
 /// The last versions of a section, oldest first; none if this instance is no store.
@@ -128,14 +117,3 @@
     let replica = node.replica.as_ref();
     replica.is_some_and(|replica| replica.borrow().confirmed(node.now()))
 }
-
-fn line(audit: &store::Audit) -> AuditLine {
-    AuditLine {
-        author: audit.author.clone(),
-        base: audit.base.0,
-        id: audit.id.clone(),
-        outcome: convert::outcome(audit.outcome.clone()),
-        section: audit.section.clone(),
-        time: audit.time,
-    }
-}
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -24,7 +24,11 @@
     },
     http::request::Parts,
 };
-use process::Handler;
+use process::{
+    Handler,
+    Peer,
+    epoch_millis, //
+};
 use store::{
     Answer,
     Event,
@@ -109,7 +113,7 @@
     match B::call(parts, &body)? {
         Call::Announce(announcement) => announce::<B>(state, announcement).await,
         Call::Depart(name, incarnation) => depart(state, &name, incarnation).await,
-        Call::Publish => publish::<B>(state, body).await,
+        Call::Publish => publish::<B>(state, parts, body).await,
         Call::Read => read(state).await,
     }
 }
@@ -183,13 +187,15 @@
     }
 }
 
-async fn publish<B: Border>(state: &StoreState, body: Bytes) -> Result<Reply, Refused> {
-    let document = B::document(&body)?;
-    let publication = Publication {
-        bytes: body.as_ref().into(),
-        version: document.version,
-    };
-    let version = document.version;
+async fn publish<B: Border>(
+    state: &StoreState,
+    parts: &Parts,
+    body: Bytes,
+) -> Result<Reply, Refused> {
+    let version = B::document(&body)?.version;
+    let caller = parts.extensions.get::<Peer>();
+    let author = caller.map_or(String::new(), |peer| peer.0.ip().to_string());
+    let publication = Publication::new(version, &body).with_author(&author, epoch_millis());
     let known = state.replica.borrow().ledger().compare(&publication);
     let published = match known {
         Some(known) => known,
@@ -199,7 +205,7 @@
             Asked::Here(_) => return Err(lost()),
         },
     };
-    log::info!(version, outcome = format!("{published:?}"); "a document was published");
+    log::info!(version, author, outcome = format!("{published:?}"); "a document was published");
     match published {
         Published::Accepted | Published::Repeated | Published::Superseded => Ok(Reply::Done),
         Published::Conflict => {
--- a/crates/edge/src/describe.rs
+++ b/crates/edge/src/describe.rs
@@ -15,6 +15,8 @@
 use wire::{
     Addresses,
     Announcement,
+    AuditLine,
+    AuditQuery,
     Instance,
     LogMembers,
     ServiceStatus,
@@ -34,6 +36,10 @@
 };
 
 impl Described for Entry {
+    fn audit(&self, _query: &AuditQuery) -> Option<Vec<AuditLine>> {
+        None
+    }
+
     fn endpoints(&self) -> Vec<Announcement> {
         let view = self.view.borrow();
         let known = view.registry().iter().filter(|known| !known.departed);
@@ -86,6 +92,10 @@
 }
 
 impl Described for StoreState {
+    fn audit(&self, query: &AuditQuery) -> Option<Vec<AuditLine>> {
+        Some(replica::trail(&self.replica.borrow(), query))
+    }
+
     fn endpoints(&self) -> Vec<Announcement> {
         let registry = self.registry.borrow();
         let known = registry.iter().filter(|known| !known.departed);
--- a/crates/edge/src/pages.rs
+++ b/crates/edge/src/pages.rs
@@ -5,13 +5,14 @@
     rc::Rc, //
 };
 
+use codes::Code;
 use compio::{
     net::TcpListener,
     runtime::spawn, //
 };
 use http_body_util::Full;
 use hyper::{
-    Request, Response, StatusCode,
+    Request, Response, StatusCode, Uri,
     body::{
         Bytes,
         Incoming, //
@@ -23,11 +24,14 @@
 };
 use process::{
     Handler,
-    Stop, //
+    Stop,
+    query_value, //
 };
 use serde::Serialize;
 use wire::{
     Announcement,
+    AuditLine,
+    AuditQuery,
     MemberStatus,
     Overview,
     Standing,
@@ -39,8 +43,14 @@
     settings::Settings, //
 };
 
+/// Lines of the audit trail that are shown if the caller does not say how many.
+const AUDIT_LINES: u32 = 100;
+
 /// What a process can tell operators of itself.
 pub trait Described: 'static {
+    /// The last lines of the audit trail, oldest first; none if the process keeps none.
+    fn audit(&self, query: &AuditQuery) -> Option<Vec<AuditLine>>;
+
     /// The endpoints that it knows, in the order of their names.
     fn endpoints(&self) -> Vec<Announcement>;
 
@@ -95,17 +105,35 @@
         request: Request<Incoming>,
     ) -> impl Future<Output = Response<Self::Body>> + 'static {
         let process = &*self.process;
-        let page = match request.uri().path() {
+        let uri = request.uri();
+        let page = match uri.path() {
+            "/v1/audit" => audit(process, uri),
             "/v1/endpoints" => json(&process.endpoints()),
             "/v1/overview" => json(&overview(process)),
             "/v1/status" => json(&process.status()),
-            path if path.starts_with("/v1/") => unknown(),
+            path if path.starts_with("/v1/") => {
+                plain(StatusCode::NOT_FOUND, "no such page\n".into())
+            }
             _ => text(process.metrics()),
         };
         async move { page }
     }
 }
 
+fn audit(process: &impl Described, uri: &Uri) -> Response<Full<Bytes>> {
+    let count = query_value(uri, "count").map_or(Ok(AUDIT_LINES), str::parse);
+    let section = query_value(uri, "section").map(Into::into);
+    match count.map(|count| process.audit(&AuditQuery { count, section })) {
+        Ok(Some(lines)) => json(&lines),
+        Ok(None) => plain(StatusCode::NOT_FOUND, "no such page\n".into()),
+        Err(error) => {
+            let code = Code::ValueInvalid;
+            let advice = format!("[{}] `count` is not a number: {error}\n", code.number());
+            plain(StatusCode::BAD_REQUEST, advice)
+        }
+    }
+}
+
 fn text(metrics: &Metrics) -> Response<Full<Bytes>> {
     match metrics.text() {
         Ok(text) => Response::new(Full::new(Bytes::from(text))),
@@ -125,9 +153,9 @@
     }
 }
 
-fn unknown() -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(b"no such page\n")));
-    *response.status_mut() = StatusCode::NOT_FOUND;
+fn plain(status: StatusCode, text: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
     response
 }
 
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -3,6 +3,7 @@
 mod driver;
 mod members;
 mod replica;
+mod trail;
 
 pub use crate::{
     driver::{
@@ -11,4 +12,8 @@
     },
     members::members,
     replica::Replica,
+    trail::{
+        outcome,
+        trail, //
+    },
 };
--- /dev/null
+++ b/crates/replica/src/trail.rs
@@ -0,0 +1,53 @@
+//! The audit trail as operators read it.
+
+use store::{
+    Audit,
+    Outcome, //
+};
+use wire::{
+    AuditLine,
+    AuditQuery, //
+};
+
+use crate::replica::Replica;
+
+/// The last lines of the audit trail, oldest first.
+pub fn trail(replica: &Replica, query: &AuditQuery) -> Vec<AuditLine> {
+    let count = usize::try_from(query.count).unwrap_or(usize::MAX);
+    let section = query.section.as_ref();
+    let wanted = |line: &&Audit| section.is_none_or(|name| *name == line.section);
+    let trail = replica.ledger().audit().iter().rev();
+    let mut lines: Vec<_> = trail.filter(wanted).take(count).map(line).collect();
+    lines.reverse();
+    lines
+}
+
+/// An outcome as it is answered.
+pub fn outcome(from: Outcome) -> wire::Outcome {
+    match from {
+        Outcome::Accepted { revision, version } => wire::Outcome::Accepted {
+            revision: revision.0,
+            version: version.0,
+        },
+        Outcome::Refused {
+            advice,
+            code,
+            version,
+        } => wire::Outcome::Refused {
+            advice,
+            code,
+            version: version.0,
+        },
+    }
+}
+
+fn line(audit: &Audit) -> AuditLine {
+    AuditLine {
+        author: audit.author.clone(),
+        base: audit.base.0,
+        id: audit.id.clone(),
+        outcome: outcome(audit.outcome.clone()),
+        section: audit.section.clone(),
+        time: audit.time,
+    }
+}
--- a/crates/store/src/ledger.rs
+++ b/crates/store/src/ledger.rs
@@ -35,6 +35,9 @@
 /// A resend of an older edit is refused: its base version is no longer in force.
 pub const RETAINED_EDITS: usize = 20_000;
 
+/// What the audit trail calls a document that is published as a whole.
+pub const DOCUMENT: &str = "document";
+
 /// Versions of one section whose texts are kept, the one in force included.
 pub const RETAINED_VERSIONS: usize = 32;
 
@@ -111,11 +114,12 @@
 
     /// Puts a document with its operator's version in force, unless one is that is as high.
     pub fn publish(&mut self, publication: &Publication) -> Published {
-        if let Some(known) = self.compare(publication) {
-            return known;
+        let published = self.compare(publication).unwrap_or(Published::Accepted);
+        self.note(publication, published);
+        if published == Published::Accepted {
+            self.published = Some(publication.clone());
         }
-        self.published = Some(publication.clone());
-        Published::Accepted
+        published
     }
 
     /// What would become of a publication that changes nothing; none for one that would be
@@ -123,7 +127,7 @@
     pub fn compare(&self, publication: &Publication) -> Option<Published> {
         match &self.published {
             Some(held) if held.version > publication.version => Some(Published::Superseded),
-            Some(held) if held == publication => Some(Published::Repeated),
+            Some(held) if held.same(publication) => Some(Published::Repeated),
             Some(held) if held.version == publication.version => Some(Published::Conflict),
             Some(_) | None => None,
         }
@@ -206,7 +210,7 @@
 
     fn record(&mut self, edit: &Edit, outcome: &Outcome) {
         self.outcomes.insert(edit.id.clone(), outcome.clone());
-        self.audit.push_back(Audit {
+        self.trail(Audit {
             author: edit.author.clone(),
             base: edit.base,
             id: edit.id.clone(),
@@ -214,6 +218,37 @@
             section: edit.section.clone(),
             time: edit.time,
         });
+    }
+
+    /// Adds a publication to the audit trail, unless it only repeats the one in force.
+    fn note(&mut self, publication: &Publication, published: Published) {
+        let held = self.published.as_ref().map_or(0, |held| held.version);
+        let refused = |code: Code| Outcome::Refused {
+            advice: code.meaning().into(),
+            code,
+            version: Version(held),
+        };
+        let outcome = match published {
+            Published::Accepted => Outcome::Accepted {
+                revision: Revision(publication.version),
+                version: Version(publication.version),
+            },
+            Published::Conflict => refused(Code::PublicationConflict),
+            Published::Repeated => return,
+            Published::Superseded => refused(Code::PublicationSuperseded),
+        };
+        self.trail(Audit {
+            author: publication.author.clone(),
+            base: Version(held),
+            id: format!("{:08x}", crc32c::crc32c(&publication.bytes)).into(),
+            outcome,
+            section: DOCUMENT.into(),
+            time: publication.time,
+        });
+    }
+
+    fn trail(&mut self, line: Audit) {
+        self.audit.push_back(line);
         if self.audit.len() > RETAINED_EDITS
             && let Some(oldest) = self.audit.pop_front()
         {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -59,6 +59,7 @@
         StoreId, //
     },
     ledger::{
+        DOCUMENT,
         Ledger,
         RETAINED_EDITS,
         RETAINED_VERSIONS,
--- a/crates/store/tests/group.rs
+++ b/crates/store/tests/group.rs
@@ -6,6 +6,7 @@
 use mimosausher_store::{
     Answer,
     Event,
+    Outcome,
     Publication,
     Published,
     StoreId,
@@ -24,10 +25,7 @@
 }
 
 fn publication(version: u64, text: &str) -> Publication {
-    Publication {
-        bytes: text.as_bytes().into(),
-        version,
-    }
+    Publication::new(version, text.as_bytes())
 }
 
 fn all(world: &World) -> Vec<usize> {
@@ -122,6 +120,28 @@
     }
 }
 
+/// A conflict and a late version that came through the log stand in the audit trail; repeats do not.
+#[test]
+fn publish_audit() {
+    let mut world = formed(3);
+    let numbers = all(&world);
+    for (token, version, text) in [(1, 7, "a"), (2, 7, "b"), (3, 7, "a"), (4, 6, "c")] {
+        publish(&mut world, version, text, token);
+    }
+    world.settle(&numbers);
+    for node in &world.nodes {
+        let lines = node.raft.ledger().audit().iter();
+        let codes: Vec<_> = lines
+            .map(|line| match &line.outcome {
+                Outcome::Accepted { version, .. } => Ok(version.0),
+                Outcome::Refused { code, .. } => Err(*code),
+            })
+            .collect();
+        let refused = [Code::PublicationConflict, Code::PublicationSuperseded].map(Err);
+        assert_eq!(codes, [&[Ok(7)], &refused[..]].concat());
+    }
+}
+
 #[test]
 fn publish_two_at_once() {
     let mut world = formed(3);
--- a/crates/store/tests/spread.rs
+++ b/crates/store/tests/spread.rs
@@ -106,10 +106,7 @@
             .copied()
             .filter(|number| world.nodes[*number].raft.leads())
             .max_by_key(|number| world.nodes[*number].raft.term());
-        let publication = Publication {
-            bytes: b"a".as_slice().into(),
-            version: 7,
-        };
+        let publication = Publication::new(7, b"a");
         world.event(leader.unwrap(), Event::Publish(publication, Token(1)));
         world.settle(&rest);
         let accepted = Answer::Published(Published::Accepted);
