A request whose first packet takes note of an earlier answer can be given up like others

The caller's first data packet takes note of the handshake's end, or of the answer to the request before, and the entry took that, at the very moment when the request began, for a sign that the endpoint had the request.

Ruled out: the caller's repeats (they passed at 200 and 600 ms), the stall of the entry.

--- a/crates/placement/src/endpoint.rs
+++ b/crates/placement/src/endpoint.rs
@@ -170,7 +170,8 @@
     /// Notes that a request was sent again; returns whether the endpoint is not reached: it has
     /// shown no sign since the request came, and one has been sent three times by now.
     pub(crate) fn unanswered(&mut self, now: Duration, request: Request) -> bool {
-        if self.progress_at.is_some_and(|at| at >= request.since) {
+        // A packet that begins a request may show what the endpoint sent before that.
+        if self.progress_at.is_some_and(|at| at > request.since) {
             return false;
         }
         self.missed(now);
--- a/crates/placement/tests/pool.rs
+++ b/crates/placement/tests/pool.rs
@@ -170,6 +170,34 @@
     }
 }
 
+/// The packet that begins a request also takes note of what the endpoint sent before it: the end of the
+/// handshake, or the answer to the request before. That is no sign that the endpoint has the request.
+#[test]
+fn pass_endpoint_that_ended_after_its_last_answer() {
+    let mut world = World::new(1);
+    world.open(ms(0), 1).unwrap();
+    for at in [3, 203] {
+        assert_eq!(world.pass(ms(at), 1, "i-0", REQUEST), Ok(()));
+    }
+    assert_eq!(
+        world.pass(ms(603), 1, "i-0", REQUEST),
+        Err(Code::FlowEndpointUnreachable)
+    );
+    let mut world = World::new(1);
+    world.pass(ms(0), 1, "i-0", REQUEST).unwrap();
+    let next = Progress {
+        length: REQUEST.length,
+        ..ANSWERED
+    };
+    for at in [50, 250] {
+        assert_eq!(world.pass(ms(at), 1, "i-0", next), Ok(()));
+    }
+    assert_eq!(
+        world.pass(ms(650), 1, "i-0", next),
+        Err(Code::FlowEndpointUnreachable)
+    );
+}
+
 #[test]
 fn pass_request_that_runs_once_at_most() {
     let mut world = World::new(2);
