--- a/crates/daemon/src/convert.rs
+++ b/crates/daemon/src/convert.rs
@@ -9,6 +9,7 @@
     Edit,
     Version, //
 };
+
 /// The destination of a service's packets.
 pub const fn destination(address: settings::Address) -> steering::Destination {
     steering::Destination {
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 use settings::Holder;
 use wire::{
+    AUDIT_LINES,
     AuditLine,
     AuditQuery,
     Edit,
@@ -28,9 +29,6 @@
     stores, //
 };
 
-/// Lines of the audit trail that are shown if the caller does not say how many.
-const AUDIT_LINES: u32 = 100;
-
 /// Time for which a caller waits for a later revision.
 const WATCH_WAIT: Duration = Duration::from_secs(4);
 
--- a/crates/edge/src/decisions.rs
+++ b/crates/edge/src/decisions.rs
@@ -121,11 +121,11 @@
         log::info!(code = code.number(), caller, route, reference, version; "{}", code.meaning());
     }
 
-    /// Notes a datagram that the system did not take.
-    pub fn unsent(&self, error: &io::Error) {
+    /// Notes a datagram that the system did not take or hand over.
+    pub fn lost(&self, error: &io::Error) {
         self.metrics.unsent.inc();
         if self.line(Subject::Unsent) {
-            log::warn!("a datagram could not be sent: {error}");
+            log::warn!("a datagram could not be received or sent: {error}");
         }
     }
 
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -8,6 +8,7 @@
         UdpSocket, //
     },
     rc::Rc,
+    time::Duration, //
 };
 
 use codes::Code;
@@ -27,6 +28,9 @@
 /// Datagrams that are taken in one turn: the other tasks wait for less than a millisecond.
 const BATCH: usize = 64;
 
+/// Pause after a failure to wait for the socket, so that the other tasks run.
+const READY_PAUSE: Duration = Duration::from_millis(10);
+
 /// Forwards packets until the process ends.
 ///
 /// One wait for the socket serves all datagrams that have come by then, each with two system calls.
@@ -35,7 +39,8 @@
     let mut out = Vec::with_capacity(DATAGRAM_BYTES);
     loop {
         if let Err(error) = socket.read_ready().await {
-            entry.decisions.unsent(&error);
+            entry.decisions.lost(&error);
+            compio::time::sleep(READY_PAUSE).await;
             continue;
         }
         for _ in 0..BATCH {
@@ -46,7 +51,7 @@
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 // What an earlier datagram met on its way; the next one may get through.
-                Err(error) => entry.decisions.unsent(&error),
+                Err(error) => entry.decisions.lost(&error),
             }
         }
     }
@@ -67,7 +72,7 @@
         None => Ok(()),
     };
     if let Err(error) = sent {
-        entry.decisions.unsent(&error);
+        entry.decisions.lost(&error);
     }
 }
 
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -31,6 +31,7 @@
     message::{
         Gossip,
         Hello,
+        Loaded,
         Receipt, //
     },
     state::StoreState,
@@ -140,8 +141,8 @@
         let listener = wake.listen();
         let now = state.clock.now();
         let due = now >= beat;
-        let mut gossip = gossip(state, address, told, due);
-        gossip.loads = due.then(|| delta.update(state.reported()));
+        let loads = due.then(|| delta.update(state.reported()));
+        let gossip = gossip(state, address, told, loads);
         if due || !gossip.log.is_empty() || !gossip.records.is_empty() {
             sender.send(&gossip).await?;
             told = gossip.upto;
@@ -154,8 +155,15 @@
     }
 }
 
-/// What a store has to be told that has all up to the change `told`.
-fn gossip(state: &StoreState, address: SocketAddrV4, told: u64, due: bool) -> Gossip {
+/// What a store has to be told that has all up to the change `told`; changed loads go with all that
+/// is told from time to time only.
+fn gossip(
+    state: &StoreState,
+    address: SocketAddrV4,
+    told: u64,
+    loads: Option<Vec<Loaded>>,
+) -> Gossip {
+    let due = loads.is_some();
     let mut peers = state.peers.borrow_mut();
     let stores = match due {
         true => peers.addresses().collect(),
@@ -168,7 +176,7 @@
     let registry = state.registry.borrow();
     Gossip {
         join: (due && state.joins()).then(|| state.member.clone()),
-        loads: None,
+        loads,
         log: queue.unwrap_or_default().into(),
         records: registry.touched(state.clock.now(), told),
         stores,
--- a/crates/edge/src/pages.rs
+++ b/crates/edge/src/pages.rs
@@ -29,6 +29,7 @@
 };
 use serde::Serialize;
 use wire::{
+    AUDIT_LINES,
     Announcement,
     AuditLine,
     AuditQuery,
@@ -43,9 +44,6 @@
     settings::Settings, //
 };
 
-/// Lines of the audit trail that are shown if the caller does not say how many.
-const AUDIT_LINES: u32 = 100;
-
 /// What a process can tell operators of itself.
 pub trait Described: 'static {
     /// The last lines of the audit trail, oldest first; none if the process keeps none.
--- a/crates/edge/src/run_entry.rs
+++ b/crates/edge/src/run_entry.rs
@@ -109,7 +109,7 @@
             entry.decisions.orphaned(&packet);
             let to = SocketAddrV4::new(*packet.flow.caller.ip(), port);
             if let Err(error) = socket.send_to(&out, to) {
-                entry.decisions.unsent(&error);
+                entry.decisions.lost(&error);
             }
         }
         entry.decisions.report(entry.clock.now());
--- a/crates/store/src/roster.rs
+++ b/crates/store/src/roster.rs
@@ -72,8 +72,8 @@
             .map(|learner| learner.id)
             .find(|id| self.silence(*id) > patience * LEARNER_PATIENCES);
         let evens = |learner, voter| spread.beside(learner) + 1 < spread.beside(voter);
-        let superfluous = lost.or(crowded);
-        match (superfluous, caught, stale) {
+        let replaced = lost.or(crowded);
+        match (replaced, caught, stale) {
             (_, Some(learner), _) if voters().count() < wanted => {
                 Some(members.with_voter(learner.id))
             }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -100,6 +100,7 @@
         Status, //
     },
     trail::{
+        AUDIT_LINES,
         AuditLine,
         AuditQuery,
         PastVersion, //
--- a/crates/wire/src/trail.rs
+++ b/crates/wire/src/trail.rs
@@ -17,6 +17,9 @@
     pub section: Option<Box<str>>,
 }
 
+/// Lines of the audit trail that are shown if the caller does not say how many.
+pub const AUDIT_LINES: u32 = 100;
+
 /// One line of the audit trail.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
