A store that has a quorum again says so to entries at once

An entry that started with the same document as before a loss of power heard up to 500 ms later that a quorum confirms it.

Change: a connection that has last told an entry that the store is not current sends as soon as it is. Once a time, so that commits cause no frames of their own.

--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -117,6 +117,7 @@
 ) -> io::Result<()> {
     let mut told = 0;
     let mut stores = Vec::new();
+    let mut confirmed = false;
     let mut delta = LoadDelta::default();
     let mut beat = Duration::ZERO;
     loop {
@@ -126,13 +127,15 @@
         let document = state.document.borrow().clone();
         let document = document.filter(|document| document.version > version);
         let records = state.registry.borrow().changed(now, told);
-        if document.is_some() || !records.is_empty() || now >= beat {
+        let current = state.replica.borrow().raft().current(now);
+        let regained = current && !confirmed;
+        if document.is_some() || !records.is_empty() || regained || now >= beat {
             told = state.registry.borrow().count();
             version = document
                 .as_ref()
                 .map_or(version, |document| document.version);
             let last = Push {
-                current: state.replica.borrow().raft().current(now),
+                current,
                 document: document.map(|document| (*document).clone()),
                 loads: delta.update(state.elsewhere(name)),
                 more: false,
@@ -145,6 +148,7 @@
             for frame in chunks(last) {
                 sender.send(&frame).await?;
             }
+            confirmed = current;
             stores = known;
             beat = now + BEAT;
         }
