The stores' driver and the packets' pump stand once

Cause: two test files drove stores with the same lines, two benchmarks sent packets with the same loop.

Change: World::run and standin::pump. No product code.

--- a/crates/daemon/benches/path.rs
+++ b/crates/daemon/benches/path.rs
@@ -28,7 +28,8 @@
     Cluster,
     Endpoint,
     Figure,
-    datagram, //
+    datagram,
+    pump, //
 };
 
 const SECTION: &str = r#"
@@ -112,21 +113,8 @@
     let from = SocketAddrV4::new([127, 0, 0, 1].into(), 9);
     let to = SocketAddrV4::new([203, 0, 113, 10].into(), 4000);
     let bytes = datagram(from, to, &[0; 36]).unwrap();
-    let mut buffer = [0; 2048];
-    let (mut sent, mut received) = (0, 0);
-    let start = Instant::now();
-    while received < PACKETS {
-        while sent < PACKETS && sent - received < WINDOW {
-            source.send_to(&bytes, hop).unwrap();
-            sent += 1;
-        }
-        match sink.recv_from(&mut buffer) {
-            Ok(_) => received += 1,
-            Err(_) if sent == PACKETS => break,
-            Err(_) => sent = received,
-        }
-    }
-    received as f64 / start.elapsed().as_secs_f64()
+    let send = |_, hop| source.send_to(&bytes, hop);
+    pump(hop, sink, (PACKETS, WINDOW), send).unwrap()
 }
 
 /// Starts a relay on the same runtime as the daemon's that looks into no packet.
--- a/crates/store/tests/group.rs
+++ b/crates/store/tests/group.rs
@@ -32,22 +32,10 @@
     (0..world.nodes.len()).collect()
 }
 
-/// Lets messages, ticks and joins pass between some stores.
-fn run(world: &mut World, numbers: &[usize], rounds: usize) {
-    for _ in 0..rounds {
-        for number in numbers {
-            world.tick(*number);
-            world.settle(numbers);
-        }
-        world.join();
-        world.settle(numbers);
-    }
-}
-
 fn formed(count: usize) -> World {
     let mut world = World::founded(count, 3, timing());
     let numbers = all(&world);
-    run(&mut world, &numbers, 20);
+    world.run(&numbers, 20);
     assert!(world.leader().is_some());
     world
 }
@@ -85,18 +73,18 @@
     let timing = Timing::new().with_voters(5);
     let mut world = World::founded(8, 3, timing);
     let numbers = all(&world);
-    run(&mut world, &numbers, 40);
+    world.run(&numbers, 40);
     assert_eq!(voters(&world).len(), 5);
 }
 
 #[test]
 fn found_one_late_founder() {
     let mut world = World::founded(3, 3, timing());
-    run(&mut world, &[0, 1], 20);
+    world.run(&[0, 1], 20);
     publish(&mut world, 7, "a", 1);
     world.settle(&[0, 1]);
     assert_eq!(published(&world, 1), Some(Published::Accepted));
-    run(&mut world, &[0, 1, 2], 20);
+    world.run(&[0, 1, 2], 20);
     let held = world.nodes[2].raft.ledger().published().unwrap();
     assert_eq!(held.version, 7);
 }
@@ -217,7 +205,7 @@
     let old = world.nodes[lost].raft.id();
     world.wipe(lost, StoreId(99));
     let numbers = all(&world);
-    run(&mut world, &numbers, 20);
+    world.run(&numbers, 20);
     let voters = voters(&world);
     assert_eq!(voters.len(), 3);
     assert!(!voters.contains(&old));
@@ -239,7 +227,7 @@
     world.settle(&[leader, others[0]]);
     assert_eq!(published(&world, 1), Some(Published::Accepted));
     world.wipe(others[0], StoreId(99));
-    run(&mut world, &others, 40);
+    world.run(&others, 40);
     for number in others {
         assert!(!world.nodes[number].raft.leads());
     }
@@ -253,14 +241,14 @@
     let id = world.nodes[silent].raft.id();
     let others: Vec<_> = (0..4).filter(|number| *number != silent).collect();
     // Heartbeats come every 100 ms; the patience is 8 s.
-    run(&mut world, &others, 30);
+    world.run(&others, 30);
     assert!(voters(&world).contains(&id));
-    run(&mut world, &others, 100);
+    world.run(&others, 100);
     let now = voters(&world);
     assert_eq!(now.len(), 3);
     assert!(!now.contains(&id));
     let numbers = all(&world);
-    run(&mut world, &numbers, 20);
+    world.run(&numbers, 20);
     let leader = world.leader().unwrap();
     assert!(world.nodes[leader].raft.members().get(id).is_some());
 }
@@ -289,7 +277,7 @@
     let mut pending: Vec<(Token, usize, Asked)> = Vec::new();
     let mut acknowledged = 0;
     for round in 0..12 {
-        run(&mut world, &numbers, 20);
+        world.run(&numbers, 20);
         let mut wipes = 1;
         for _ in 0..400 {
             let any = random.random_range(0..count);
@@ -349,7 +337,7 @@
                 false
             });
         }
-        run(&mut world, &numbers, 30);
+        world.run(&numbers, 30);
         for number in &numbers {
             let held = held(&world, *number);
             assert!(
--- a/crates/store/tests/spread.rs
+++ b/crates/store/tests/spread.rs
@@ -17,25 +17,13 @@
 };
 use world::World;
 
-/// Lets messages, ticks and joins pass between some stores.
-fn run(world: &mut World, numbers: &[usize], rounds: usize) {
-    for _ in 0..rounds {
-        for number in numbers {
-            world.tick(*number);
-            world.settle(numbers);
-        }
-        world.join();
-        world.settle(numbers);
-    }
-}
-
 /// Stores in the named data centres; the first three found the group.
 fn formed(centres: &[&str], voters: usize) -> World {
     let timing = Timing::new().with_voters(voters);
     let mut world = World::founded(centres.len(), 3, timing);
     world.locate(centres);
     let numbers: Vec<_> = (0..centres.len()).collect();
-    run(&mut world, &numbers, 60);
+    world.run(&numbers, 60);
     world
 }
 
@@ -85,7 +73,7 @@
     let before = voters(&world, &centres);
     assert_eq!(before.values().sum::<usize>(), 3);
     let count = changes(&world);
-    run(&mut world, &[0, 1, 2, 3], 60);
+    world.run(&[0, 1, 2, 3], 60);
     assert_eq!(voters(&world, &centres), before);
     assert_eq!(changes(&world), count);
 }
@@ -100,7 +88,7 @@
             .filter(|number| centres[*number] != lost)
             .collect();
         // Less than the patience, so that no voter is replaced meanwhile.
-        run(&mut world, &rest, 30);
+        world.run(&rest, 30);
         let leader = rest
             .iter()
             .copied()
@@ -128,7 +116,7 @@
         .unwrap();
     world.wipe(lost, StoreId(99));
     world.locate(&centres);
-    run(&mut world, &[0, 1, 2, 3, 4], 60);
+    world.run(&[0, 1, 2, 3, 4], 60);
     let voters = voters(&world, &centres);
     assert_eq!(voters.values().sum::<usize>(), 3);
     assert!(voters.values().all(|count| *count <= 1), "{voters:?}");
--- a/crates/store/tests/world/mod.rs
+++ b/crates/store/tests/world/mod.rs
@@ -186,6 +186,18 @@
         }
     }
 
+    /// Lets messages, ticks and joins pass between some stores.
+    pub fn run(&mut self, numbers: &[usize], rounds: usize) {
+        for _ in 0..rounds {
+            for number in numbers {
+                self.tick(*number);
+                self.settle(numbers);
+            }
+            self.join();
+            self.settle(numbers);
+        }
+    }
+
     /// Gives an event to a store, carries out what it asks for, and checks.
     pub fn event(&mut self, number: usize, event: Event) {
         let fault = self.fault;
--- a/examples/standin/src/lib.rs
+++ b/examples/standin/src/lib.rs
@@ -13,6 +13,7 @@
 mod forwarder;
 mod http;
 mod memory;
+mod pump;
 
 pub use crate::{
     announcer::Announcer,
@@ -43,4 +44,5 @@
         call_within, //
     },
     memory::resident,
+    pump::pump,
 };
