--- a/crates/announcements/src/lib.rs
+++ b/crates/announcements/src/lib.rs
@@ -6,20 +6,29 @@
 //! has no clock: times are arguments and count from the start of the process.
 
 mod announcement;
+mod digest;
+mod page;
 mod rank;
 mod record;
 mod registry;
+mod renewal;
+mod state_change;
 
 pub use crate::{
     announcement::{
         Announcement,
         State, //
     },
+    digest::Digest,
+    page::Page,
     rank::Rank,
     record::Record,
     registry::{
         KnownEndpoint,
+        Lack,
         Registry,
         TOMBSTONE_RETENTION, //
     },
+    renewal::Renewal,
+    state_change::StateChange,
 };
--- a/crates/announcements/src/registry.rs
+++ b/crates/announcements/src/registry.rs
@@ -5,14 +5,20 @@
         BTreeMap,
         HashMap, //
     },
+    hash::Hasher as _,
     net::SocketAddrV4,
     time::Duration, //
 };
 
+use siphasher::sip::SipHasher13;
+
 use crate::{
     announcement::Announcement,
+    page::Page,
     rank::Rank,
-    record::Record, //
+    record::Record,
+    renewal::Renewal,
+    state_change::StateChange, //
 };
 
 /// Time since its last announcement after which a departed or silent endpoint is evicted; longer
@@ -27,12 +33,16 @@
 pub struct KnownEndpoint {
     /// Last announcement of the endpoint.
     pub announcement: Announcement,
+    /// Number of the last change of anything but its state.
+    base_change: u64,
     /// Whether this incarnation of the endpoint has left.
     pub departed: bool,
     /// Whether its last announcement is older than the registry's timeout.
     pub silent: bool,
     /// Number of the last change that is sent to entries.
     entry_change: u64,
+    /// Number of the last change that was no renewal.
+    full_change: u64,
     /// Time of its last announcement, plus [`CLOCK_OFFSET`].
     last_announced: Duration,
     /// Number of the last change that is sent to other stores; a direct announcement is one, too.
@@ -40,6 +50,27 @@
 }
 
 impl KnownEndpoint {
+    /// Number of the last change of anything but its state.
+    pub const fn base_change(&self) -> u64 {
+        self.base_change
+    }
+
+    /// Number of the last change that is sent to entries.
+    pub const fn entry_change(&self) -> u64 {
+        self.entry_change
+    }
+
+    /// Its record at a time that includes [`CLOCK_OFFSET`].
+    fn record(&self, now: Duration) -> Record {
+        let age = now.saturating_sub(self.last_announced).as_millis();
+        Record {
+            age: u32::try_from(age).unwrap_or(u32::MAX),
+            announcement: self.announcement.clone(),
+            departed: self.departed,
+            silent: self.silent,
+        }
+    }
+
     fn rank(&self) -> Rank {
         Rank {
             incarnation: self.announcement.incarnation,
@@ -49,14 +80,33 @@
     }
 }
 
+/// What an entry lacks of an endpoint's record.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Lack {
+    /// It may lack all of it.
+    Everything,
+    /// It has the record as it is.
+    Nothing,
+    /// It may lack all of it, and takes whole records only.
+    Record,
+    /// It has all but the state.
+    State,
+}
+
 /// Registry of the endpoints known to a store, by name.
 #[derive(Clone, Debug)]
 pub struct Registry {
     /// Endpoint that owns each address: the one with the latest incarnation.
     addresses: HashMap<SocketAddrV4, Box<str>>,
     endpoints: BTreeMap<Box<str>, KnownEndpoint>,
+    /// Names of the endpoints, by the number of their last change that is sent to entries.
+    entry_changes: BTreeMap<u64, Box<str>>,
+    /// Names by their keys in renewals; none for a key that several names share.
+    keys: HashMap<u32, Option<Box<str>>>,
     /// Number of the latest change; each accepted record is one, even a renewal.
     last_change: u64,
+    /// Names of the endpoints, by the number of their last change that is sent to other stores.
+    store_changes: BTreeMap<u64, Box<str>>,
     /// Time without an announcement after which an endpoint counts as silent.
     timeout: Duration,
 }
@@ -68,7 +118,10 @@
         Self {
             addresses: HashMap::new(),
             endpoints: BTreeMap::new(),
+            entry_changes: BTreeMap::new(),
+            keys: HashMap::new(),
             last_change: 0,
+            store_changes: BTreeMap::new(),
             timeout,
         }
     }
@@ -111,26 +164,41 @@
     }
 
     /// Updates which endpoints are silent, and evicts departed or silent ones after
-    /// [`TOMBSTONE_RETENTION`]. To be called a few times a second.
-    pub fn tick(&mut self, now: Duration) {
+    /// [`TOMBSTONE_RETENTION`]; returns whether any was evicted. To be called a few times a second.
+    pub fn tick(&mut self, now: Duration) -> bool {
         let now = now + CLOCK_OFFSET;
         let (timeout, mut last_change) = (self.timeout, self.last_change);
-        for known in self.endpoints.values_mut() {
+        let (entry_changes, store_changes) = (&mut self.entry_changes, &mut self.store_changes);
+        for (name, known) in &mut self.endpoints {
             let silent = now.saturating_sub(known.last_announced) > timeout;
             if silent != known.silent {
                 last_change += 1;
                 known.silent = silent;
-                known.entry_change = last_change;
+                renumber(entry_changes, &mut known.entry_change, last_change, name);
             }
         }
         self.last_change = last_change;
+        let count = self.endpoints.len();
         self.endpoints.retain(|_, known| {
             let expired = now.saturating_sub(known.last_announced) > TOMBSTONE_RETENTION;
-            !(expired && (known.departed || known.silent))
+            let kept = !(expired && (known.departed || known.silent));
+            if !kept {
+                entry_changes.remove(&known.entry_change);
+                store_changes.remove(&known.store_change);
+            }
+            kept
         });
         let endpoints = &self.endpoints;
+        if endpoints.len() == count {
+            return false;
+        }
         self.addresses
             .retain(|_, name| endpoints.contains_key(name));
+        self.keys.retain(|_, name| {
+            name.as_ref()
+                .is_none_or(|name| endpoints.contains_key(name))
+        });
+        true
     }
 
     /// Number of the latest change.
@@ -148,30 +216,136 @@
         self.endpoints.values()
     }
 
-    /// Records that another store lacks if it has all changes up to `since`.
+    /// Records that another store lacks if it has all changes up to `since`, oldest change first.
     pub fn updated_since(&self, now: Duration, since: u64) -> Vec<Record> {
-        self.records(now, |known| known.store_change > since)
+        let page = self.page(now, &self.store_changes, since, usize::MAX, |_| true);
+        page.records
     }
 
-    /// Records that an entry lacks if it has all changes up to `since`.
+    /// Records that an entry lacks if it has all changes up to `since`, oldest change first.
     pub fn changed_since(&self, now: Duration, since: u64) -> Vec<Record> {
-        self.records(now, |known| known.entry_change > since)
+        let page = self.page(now, &self.entry_changes, since, usize::MAX, |_| true);
+        page.records
+    }
+
+    /// The first `limit` of the records that another store lacks if it has all changes up to
+    /// `since`. Those that it knows up to their last announcement are among the renewals.
+    pub fn updated_page(&self, now: Duration, since: u64, limit: usize) -> Page {
+        let mut page = self.page(now, &self.store_changes, since, limit, |_| true);
+        let renewal = |record: &Record| self.renewal(record, since);
+        page.renewals = page.records.iter().filter_map(renewal).collect();
+        page.records
+            .retain(|record| self.renewal(record, since).is_none());
+        page
+    }
+
+    /// Like [`Self::updated_page`], without renewals.
+    pub fn updated_page_in_full(&self, now: Duration, since: u64, limit: usize) -> Page {
+        self.page(now, &self.store_changes, since, limit, |_| true)
     }
 
-    fn records(&self, now: Duration, wanted: impl Fn(&KnownEndpoint) -> bool) -> Vec<Record> {
+    /// Applies a renewal from another store; returns whether it was newer than the known record.
+    pub fn renew(&mut self, now: Duration, renewal: Renewal) -> bool {
         let now = now + CLOCK_OFFSET;
-        let known = self.endpoints.values().filter(|known| wanted(known));
-        known
-            .map(|known| {
-                let age = now.saturating_sub(known.last_announced).as_millis();
-                Record {
-                    age: u32::try_from(age).unwrap_or(u32::MAX),
-                    announcement: known.announcement.clone(),
-                    departed: known.departed,
-                    silent: known.silent,
-                }
-            })
-            .collect()
+        let name = self.keys.get(&renewal.key).and_then(Option::as_ref);
+        let Some(known) = name.and_then(|name| self.endpoints.get_mut(name)) else {
+            return false;
+        };
+        let announcement = &mut known.announcement;
+        let same = incarnation_bits(announcement.incarnation) == renewal.incarnation;
+        if known.departed || !same || announcement.sequence >= renewal.sequence {
+            return false;
+        }
+        announcement.sequence = renewal.sequence;
+        let age = Duration::from_millis(u64::from(renewal.age));
+        known.last_announced = known.last_announced.max(now.saturating_sub(age));
+        let silent = now.saturating_sub(known.last_announced) > self.timeout;
+        if silent != known.silent {
+            known.silent = silent;
+            self.last_change += 1;
+            let name = known.announcement.name.clone();
+            let number = &mut known.entry_change;
+            renumber(&mut self.entry_changes, number, self.last_change, &name);
+        }
+        true
+    }
+
+    /// The first `limit` of the records that an entry lacks if it has all changes up to `since`.
+    /// `lacks` says which part of an endpoint's record it lacks otherwise.
+    pub fn changed_page(
+        &self,
+        now: Duration,
+        since: u64,
+        limit: usize,
+        lacks: impl Fn(&KnownEndpoint) -> Lack,
+    ) -> Page {
+        let wanted = |known: &KnownEndpoint| lacks(known) != Lack::Nothing;
+        let mut page = self.page(now, &self.entry_changes, since, limit, wanted);
+        let state_change = |record: &Record| {
+            let known = self.endpoints.get(&record.announcement.name)?;
+            let base_known = match lacks(known) {
+                Lack::Everything => known.base_change <= since,
+                Lack::State => true,
+                Lack::Nothing | Lack::Record => false,
+            };
+            base_known.then(|| self.state_change(record)).flatten()
+        };
+        page.states = page.records.iter().filter_map(state_change).collect();
+        page.records.retain(|record| state_change(record).is_none());
+        page
+    }
+
+    /// Applies a change of state from a store; returns the endpoint's name, or none if this
+    /// registry does not know the endpoint or knows another incarnation.
+    pub fn change_state(&mut self, now: Duration, change: StateChange) -> Option<Box<str>> {
+        let name = self.keys.get(&change.key)?.clone()?;
+        let known = self.endpoints.get(&name)?;
+        if incarnation_bits(known.announcement.incarnation) != change.incarnation {
+            return None;
+        }
+        let record = Record {
+            age: change.age,
+            announcement: Announcement {
+                sequence: change.sequence,
+                state: change.state,
+                ..known.announcement.clone()
+            },
+            departed: change.departed,
+            silent: change.silent,
+        };
+        self.merge(now, record);
+        Some(name)
+    }
+
+    /// Takes as many steps as there are changes after `since`, however many endpoints are known.
+    fn page(
+        &self,
+        now: Duration,
+        changes: &BTreeMap<u64, Box<str>>,
+        since: u64,
+        limit: usize,
+        wanted: impl Fn(&KnownEndpoint) -> bool,
+    ) -> Page {
+        let now = now + CLOCK_OFFSET;
+        let changes = changes.range(since.saturating_add(1)..);
+        let known = changes.filter_map(|(change, name)| Some((*change, self.endpoints.get(name)?)));
+        let mut page = Page {
+            more: false,
+            records: Vec::new(),
+            renewals: Vec::new(),
+            states: Vec::new(),
+            upto: since,
+        };
+        for (change, known) in known.filter(|(_, known)| wanted(known)) {
+            if page.records.len() >= limit {
+                page.more = true;
+                return page;
+            }
+            page.records.push(known.record(now));
+            page.upto = change;
+        }
+        page.upto = self.last_change;
+        page
     }
 
     fn insert(&mut self, now: Duration, mut record: Record, direct: bool) -> bool {
@@ -189,31 +363,83 @@
         let last_change = self.last_change;
         let address = record.announcement.address;
         let departed = record.departed;
+        // A number of 0 is no change: a new endpoint is no renewal, so that it gets one below.
         let known = self.endpoints.entry(name.clone()).or_insert(KnownEndpoint {
             announcement: record.announcement.clone(),
-            entry_change: last_change,
+            base_change: last_change,
+            entry_change: 0,
+            full_change: 0,
             departed,
             last_announced,
             silent: false,
-            store_change: last_change,
+            store_change: 0,
         });
+        if !same_base(&known.announcement, &record.announcement) {
+            known.base_change = last_change;
+        }
         known.announcement = record.announcement;
         known.departed = departed;
         known.last_announced = previous.max(last_announced);
         let silent = now.saturating_sub(known.last_announced) > self.timeout;
         if !renewal || known.silent != silent {
-            known.entry_change = last_change;
+            let number = &mut known.entry_change;
+            renumber(&mut self.entry_changes, number, last_change, &name);
         }
         if !renewal || direct {
-            known.store_change = last_change;
+            let number = &mut known.store_change;
+            renumber(&mut self.store_changes, number, last_change, &name);
         }
         known.silent = silent;
+        if !renewal {
+            known.full_change = last_change;
+        }
+        self.index_key(&name);
         if !departed {
             self.assign_address(address, &name);
         }
         true
     }
 
+    /// The renewal that replaces a record for a store that has all changes up to `since`; none if
+    /// that store lacks more of it.
+    fn renewal(&self, record: &Record, since: u64) -> Option<Renewal> {
+        let announcement = &record.announcement;
+        let known = self.endpoints.get(&announcement.name)?;
+        let key = name_key(&announcement.name);
+        let unique = self.keys.get(&key).is_some_and(Option::is_some);
+        (unique && known.full_change <= since && !record.departed).then(|| Renewal {
+            age: record.age,
+            incarnation: incarnation_bits(announcement.incarnation),
+            key,
+            sequence: announcement.sequence,
+        })
+    }
+
+    /// The change of state that replaces a record for an entry that knows the endpoint; none if the
+    /// key of its name is not unique.
+    fn state_change(&self, record: &Record) -> Option<StateChange> {
+        let announcement = &record.announcement;
+        let key = name_key(&announcement.name);
+        let unique = self.keys.get(&key).is_some_and(Option::is_some);
+        unique.then(|| StateChange {
+            age: record.age,
+            departed: record.departed,
+            incarnation: incarnation_bits(announcement.incarnation),
+            key,
+            sequence: announcement.sequence,
+            silent: record.silent,
+            state: announcement.state,
+        })
+    }
+
+    fn index_key(&mut self, name: &str) {
+        let entry = self.keys.entry(name_key(name));
+        let indexed = entry.or_insert_with(|| Some(name.into()));
+        if indexed.as_deref().is_some_and(|other| other != name) {
+            *indexed = None;
+        }
+    }
+
     /// Whether a later endpoint owns the record's address, so that the record's endpoint has ended.
     fn superseded(&self, record: &Record) -> bool {
         let own = &record.announcement;
@@ -232,19 +458,63 @@
     /// Assigns an address to its new owner, and marks the previous owner as departed.
     fn assign_address(&mut self, address: SocketAddrV4, name: &str) {
         let former = self.addresses.insert(address, name.into());
-        let former = former.filter(|former| **former != *name);
-        let Some(known) = former.and_then(|former| self.endpoints.get_mut(&former)) else {
+        let Some(former) = former.filter(|former| **former != *name) else {
+            return;
+        };
+        let Some(known) = self.endpoints.get_mut(&former) else {
             return;
         };
         if known.announcement.address == address && !known.departed {
             self.last_change += 1;
             known.departed = true;
-            known.entry_change = self.last_change;
-            known.store_change = self.last_change;
+            let change = self.last_change;
+            known.full_change = change;
+            renumber(
+                &mut self.entry_changes,
+                &mut known.entry_change,
+                change,
+                &former,
+            );
+            renumber(
+                &mut self.store_changes,
+                &mut known.store_change,
+                change,
+                &former,
+            );
         }
     }
 }
 
+/// Key of a name in renewals.
+fn name_key(name: &str) -> u32 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(name.as_bytes());
+    let low = hasher.finish() & u64::from(u32::MAX);
+    u32::try_from(low).unwrap_or_default()
+}
+
+fn incarnation_bits(incarnation: u64) -> u16 {
+    u16::try_from(incarnation & u64::from(u16::MAX)).unwrap_or_default()
+}
+
+/// Moves an endpoint to a later number in an index of changes.
+fn renumber(changes: &mut BTreeMap<u64, Box<str>>, number: &mut u64, later: u64, name: &str) {
+    changes.remove(number);
+    changes.insert(later, name.into());
+    *number = later;
+}
+
+/// Whether two announcements differ in the state of the endpoint at most.
+fn same_base(old: &Announcement, new: &Announcement) -> bool {
+    let same = Announcement {
+        sequence: old.sequence,
+        state: old.state,
+        warmup: old.warmup,
+        ..new.clone()
+    };
+    same == *old
+}
+
 /// Whether a record changes nothing but the sequence number and the remaining slow start, and so
 /// only shows that the endpoint still runs.
 fn is_renewal(known: &KnownEndpoint, record: &Record) -> bool {
--- a/crates/announcements/tests/registry.rs
+++ b/crates/announcements/tests/registry.rs
@@ -4,6 +4,8 @@
 
 use mimosausher_announcements::{
     Announcement,
+    Digest,
+    Lack,
     Record,
     Registry,
     State,
@@ -201,3 +203,238 @@
         assert_eq!(states[0], states[1], "seed {seed}");
     }
 }
+
+/// Announcements of `count` endpoints, each at an address of its own.
+fn many(count: u8) -> Vec<Announcement> {
+    let numbers = 0..count;
+    numbers
+        .map(|number| Announcement {
+            address: format!("10.0.0.{number}:80").parse().unwrap(),
+            ..announcement(&format!("i-{number}"), 5, 1)
+        })
+        .collect()
+}
+
+/// Heartbeats travel to another store in a few bytes each, and it knows as much as by records.
+#[test]
+fn updated_page_heartbeats() {
+    let (mut own, mut other) = (Registry::new(TIMEOUT), Registry::new(TIMEOUT));
+    for announcement in many(100) {
+        own.announce(at(1), announcement);
+    }
+    let first = own.updated_page(at(1), 0, usize::MAX);
+    assert_eq!((first.records.len(), first.renewals.len()), (100, 0));
+    for record in first.records {
+        other.merge(at(1), record);
+    }
+    for mut announcement in many(100) {
+        announcement.sequence = 2;
+        own.announce(at(3), announcement);
+    }
+    let second = own.updated_page(at(3), first.upto, usize::MAX);
+    assert_eq!((second.records.len(), second.renewals.len()), (0, 100));
+    let bytes = postcard::to_stdvec(&second.renewals).unwrap().len();
+    assert!(bytes <= 100 * 16, "{bytes} bytes");
+    for renewal in second.renewals {
+        assert!(other.renew(at(3), renewal));
+        assert!(!other.renew(at(3), renewal), "known already");
+    }
+    other.tick(at(5));
+    assert!(
+        other
+            .iter()
+            .all(|known| !known.silent && known.announcement.sequence == 2)
+    );
+    other.tick(at(7));
+    assert!(other.iter().all(|known| known.silent));
+}
+
+/// A renewal that was delayed changes nothing about a departure, a later incarnation or a later
+/// announcement.
+#[test]
+fn renew_late() {
+    let (mut own, mut other) = (Registry::new(TIMEOUT), Registry::new(TIMEOUT));
+    own.announce(at(1), announcement("a", 5, 1));
+    let known = own.last_change();
+    own.announce(at(2), announcement("a", 5, 2));
+    let renewal = own.updated_page(at(2), known, 9).renewals[0];
+    assert!(!other.renew(at(2), renewal), "not known at all");
+    other.announce(at(1), announcement("a", 5, 1));
+    other.depart(at(2), "a", Some(5)).unwrap();
+    assert!(!other.renew(at(2), renewal));
+    assert!(other.get("a").unwrap().departed);
+    other.announce(at(3), announcement("a", 6, 1));
+    assert!(!other.renew(at(3), renewal));
+    assert_eq!(other.get("a").unwrap().announcement.sequence, 1);
+}
+
+/// A store that has heard nothing of an endpoint for a while learns by a renewal that it runs.
+#[test]
+fn renew_silent_endpoint() {
+    let (mut own, mut other) = (Registry::new(TIMEOUT), Registry::new(TIMEOUT));
+    own.announce(at(1), announcement("a", 5, 1));
+    other.announce(at(1), announcement("a", 5, 1));
+    let known = own.last_change();
+    other.tick(at(9));
+    let silent = other.last_change();
+    own.announce(at(9), announcement("a", 5, 2));
+    let renewal = own.updated_page(at(9), known, 9).renewals[0];
+    assert!(other.renew(at(9), renewal));
+    let changed = other.changed_since(at(9), silent);
+    assert_eq!(changed.len(), 1);
+    assert!(!changed[0].silent);
+}
+
+/// A change that is no renewal travels as a record, also if a heartbeat follows it.
+#[test]
+fn updated_page_change_before_heartbeat() {
+    let mut registry = Registry::new(TIMEOUT);
+    registry.announce(at(1), announcement("a", 5, 1));
+    let known = registry.last_change();
+    registry.announce(at(2), draining("a", 5, 2));
+    registry.announce(at(3), draining("a", 5, 3));
+    let page = registry.updated_page(at(3), known, 9);
+    assert_eq!((page.records.len(), page.renewals.len()), (1, 0));
+    let page = registry.updated_page(at(3), page.upto, 9);
+    assert_eq!((page.records.len(), page.renewals.len()), (0, 0));
+}
+
+/// The pages together hold each change once, whatever their size.
+#[test]
+fn changed_page_any_limit() {
+    for limit in [1, 7, 100, 1_000] {
+        let mut registry = Registry::new(TIMEOUT);
+        for announcement in many(100) {
+            registry.announce(at(1), announcement);
+        }
+        let (mut since, mut names) = (0, Vec::new());
+        loop {
+            let page = registry.changed_page(at(1), since, limit, |_| Lack::Everything);
+            assert!(page.records.len() <= limit);
+            names.extend(
+                page.records
+                    .into_iter()
+                    .map(|record| record.announcement.name),
+            );
+            since = page.upto;
+            if !page.more {
+                break;
+            }
+        }
+        assert_eq!(since, registry.last_change());
+        names.sort();
+        names.dedup();
+        assert_eq!(names.len(), 100);
+    }
+}
+
+/// A process that knows nearly all endpoints is told of the others, and of few more.
+#[test]
+fn digest_few_differences() {
+    let (mut own, mut other) = (Registry::new(TIMEOUT), Registry::new(Duration::MAX / 4));
+    for announcement in many(250) {
+        own.announce(at(1), announcement.clone());
+        other.announce(at(1), announcement);
+    }
+    let digest = |registry: &Registry| Digest::new(registry.iter(), |known| known.silent);
+    let differing = |own: &Registry, other: &Registry| {
+        let (own_digest, other_digest) = (digest(own), digest(other));
+        let known = own.iter().map(|known| known.announcement.name.clone());
+        known
+            .filter(|name| !own_digest.matches(&other_digest, name))
+            .collect::<Vec<_>>()
+    };
+    assert!(differing(&own, &other).is_empty());
+    for mut announcement in many(250) {
+        announcement.sequence = 9;
+        own.announce(at(2), announcement);
+    }
+    assert!(
+        differing(&own, &other).is_empty(),
+        "heartbeats change no digest"
+    );
+    own.announce(at(2), draining("i-7", 5, 10));
+    own.depart(at(2), "i-30", Some(5)).unwrap();
+    let names = differing(&own, &other);
+    assert!(names.contains(&"i-7".into()) && names.contains(&"i-30".into()));
+    assert!(names.len() <= 30, "{} of 250 endpoints", names.len());
+}
+
+/// Without a digest everything is sent.
+#[test]
+fn digest_without_buckets() {
+    let none = Digest::default();
+    assert!(!none.matches(&none, "i-1"));
+    let garbled = Digest::from_buckets(vec![0; 3]);
+    let full = Digest::new([].into_iter(), |_| false);
+    let unmatched = (0..100).filter(|number| !full.matches(&garbled, &format!("i-{number}")));
+    assert!(unmatched.count() > 80);
+}
+
+/// A release of half of the endpoints: an entry that knows them is told in a few bytes that they
+/// drain, fall silent and leave, and it ends up with the same records.
+#[test]
+fn changed_page_release() {
+    let (mut store, mut entry) = (Registry::new(TIMEOUT), Registry::new(Duration::MAX / 4));
+    let mut sent = 0;
+    let mut follow = |store: &Registry, entry: &mut Registry, seconds| {
+        let page = store.changed_page(at(seconds), sent, usize::MAX, |_| Lack::Everything);
+        sent = page.upto;
+        let counts = (page.records.len(), page.states.len());
+        let bytes = postcard::to_stdvec(&page.states).unwrap().len();
+        for record in page.records {
+            entry.merge(at(seconds), record);
+        }
+        for change in page.states {
+            assert!(entry.change_state(at(seconds), change).is_some());
+        }
+        (counts, bytes)
+    };
+    for announcement in many(100) {
+        store.announce(at(1), announcement);
+    }
+    assert_eq!(follow(&store, &mut entry, 1).0, (100, 0));
+    for mut announcement in many(50) {
+        announcement.state = State::Draining;
+        announcement.sequence = 2;
+        store.announce(at(2), announcement);
+    }
+    let (counts, bytes) = follow(&store, &mut entry, 2);
+    assert_eq!(counts, (0, 50));
+    assert!(bytes <= 50 * 18, "{bytes} bytes");
+    for number in 0..50 {
+        store
+            .depart(at(3), &format!("i-{number}"), Some(5))
+            .unwrap();
+    }
+    assert_eq!(follow(&store, &mut entry, 3).0, (0, 50));
+    for known in store.iter() {
+        let told = entry.get(&known.announcement.name).unwrap();
+        assert_eq!(told.announcement.state, known.announcement.state);
+        assert_eq!(told.departed, known.departed);
+    }
+    store.announce(
+        at(4),
+        Announcement {
+            slots: 9,
+            ..announcement("i-99", 6, 1)
+        },
+    );
+    assert_eq!(follow(&store, &mut entry, 4).0, (1, 0), "a new incarnation");
+}
+
+/// A change of an endpoint that is unknown, or known by another incarnation, is not applied.
+#[test]
+fn change_state_unknown_endpoint() {
+    let (mut store, mut entry) = (Registry::new(TIMEOUT), Registry::new(TIMEOUT));
+    store.announce(at(1), announcement("a", 5, 1));
+    let known = store.last_change();
+    store.announce(at(2), draining("a", 5, 2));
+    let change = store
+        .changed_page(at(2), known, 9, |_| Lack::Everything)
+        .states[0];
+    assert_eq!(entry.change_state(at(2), change), None);
+    entry.announce(at(1), announcement("a", 6, 1));
+    assert_eq!(entry.change_state(at(2), change), None);
+    assert_eq!(entry.get("a").unwrap().announcement.state, State::Ready);
+}
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -129,6 +129,7 @@
     let now = state.clock.now();
     let (name, announced_state) = (announcement.name.clone(), announcement.state);
     let before = state.registry.borrow().last_change();
+    state.loads.borrow_mut().locate(&announcement);
     state.registry.borrow_mut().announce(now, announcement);
     let changed = state.registry.borrow().changed_since(now, before);
     if let Some(record) = changed
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::RefCell,
-    collections::BTreeSet,
     convert::Infallible,
     io,
     net::SocketAddrV4,
@@ -20,7 +19,7 @@
     select,
     select_ok, //
 };
-use rand::seq::IteratorRandom as _;
+use rand::Rng as _;
 
 use crate::{
     adapter::Adapter,
@@ -33,11 +32,12 @@
         split_frames, //
     },
     message::{
+        FollowerReport,
         Hello,
-        LoadReport, //
-        Push,
+        Push, //
     },
     staleness::Staleness,
+    store_choice::StoreChoice,
     view::{
         FOLLOWED_STORES, //
         LOAD_SLOT,
@@ -47,86 +47,135 @@
 /// Pause before the next attempt if no store is available.
 const NO_STORE_PAUSE: Duration = Duration::from_millis(150);
 
-/// Interval of load reports.
+/// Interval of load reports, unless no load has changed.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
-/// The known stores, and the one that each slot follows.
-#[derive(Debug)]
-struct Stores {
-    followed: [Option<SocketAddrV4>; FOLLOWED_STORES],
-    known: BTreeSet<SocketAddrV4>,
-}
+/// Interval of keepalives to a store.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
 
-impl Stores {
-    /// Samples up to `count` stores that are not followed yet, excluding the last followed one
-    /// if there are others.
-    fn sample(
-        &self,
-        seeds: &[SocketAddrV4],
-        last: Option<SocketAddrV4>,
-        count: usize,
-    ) -> Vec<SocketAddrV4> {
-        let known = self.known.iter().chain(seeds).copied();
-        let mut available: BTreeSet<_> = known
-            .filter(|store| !self.followed.contains(&Some(*store)))
-            .collect();
-        if available.len() > 1 {
-            available.retain(|store| Some(*store) != last);
-        }
-        available
-            .into_iter()
-            .choose_multiple(&mut rand::rng(), count)
-    }
-}
+/// Time for which the other slots wait for the first one after a start: a few attempts to connect.
+const FIRST_PUSH_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Interval at which they check it.
+const FIRST_PUSH_POLL: Duration = Duration::from_millis(20);
+
+/// Mean pause before the store that is followed is compared with the others: long enough that the
+/// entries of a deployment that has just started move one by one.
+const MOVE_PAUSE: Duration = Duration::from_secs(2);
+
+/// Time limit of a connection to a store that suits better; the present one serves meanwhile.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Starts a task for each followed store.
 pub fn start<A: Adapter>(entry: &Rc<Entry>) {
-    let stores = Rc::new(RefCell::new(Stores {
-        followed: [None; FOLLOWED_STORES],
-        known: BTreeSet::new(),
-    }));
+    let (name, centre) = (&entry.settings.name, &entry.settings.centre);
+    let stores = Rc::new(RefCell::new(StoreChoice::new(name, centre)));
     for slot in 0..FOLLOWED_STORES {
         spawn(follow::<A>(entry.clone(), stores.clone(), slot)).detach();
     }
 }
 
-async fn follow<A: Adapter>(entry: Rc<Entry>, stores: Rc<RefCell<Stores>>, slot: usize) {
-    let mut last = None;
+/// How a session with a store ends.
+enum SessionEnd {
+    /// The connection failed or the store has no quorum.
+    Lost(io::Error),
+    /// A connection to a store that suits the slot better is established.
+    Moved(SocketAddrV4, TcpStream),
+}
+
+async fn follow<A: Adapter>(entry: Rc<Entry>, stores: Rc<RefCell<StoreChoice>>, slot: usize) {
     let mut backoff = Backoff::quick();
     let mut staleness = Staleness::default();
+    let mut connected = None;
+    if slot != LOAD_SLOT {
+        wait_for_first_push(&entry).await;
+    }
     loop {
-        let seeds = entry.seeds.borrow().clone();
-        let candidates = stores.borrow().sample(&seeds, last, backoff.parallelism());
-        if candidates.is_empty() {
-            compio::time::sleep(NO_STORE_PAUSE).await;
-            continue;
-        }
-        if let [address] = *candidates {
-            last = Some(address);
-            set_followed(&stores, slot, last);
-        }
-        match connect_any(&candidates, backoff.connect_timeout()).await {
-            Ok((address, stream)) if reserve(&stores, slot, address) => {
-                last = Some(address);
+        let attempt = match connected.take() {
+            Some(connection) => Ok(connection),
+            None => match connect_for_slot(&entry, &stores, slot, backoff).await {
+                Some(attempt) => attempt,
+                None => {
+                    compio::time::sleep(NO_STORE_PAUSE).await;
+                    continue;
+                }
+            },
+        };
+        match attempt {
+            Ok((address, stream)) if stores.borrow_mut().reserve(slot, address) => {
                 backoff.succeed();
-                let Err(error) =
-                    session::<A>(&entry, &stores, slot, address, stream, &mut staleness).await;
-                log::info!(store = address.to_string(), reason = error.to_string(); "a store is followed no longer");
+                stores.borrow_mut().record_success(address);
+                let session = Session {
+                    address,
+                    entry: &entry,
+                    slot,
+                    stores: &stores,
+                };
+                match session.run::<A>(stream, &mut staleness).await {
+                    SessionEnd::Lost(error) => {
+                        log::info!(store = address.to_string(), reason = error.to_string(); "a store is followed no longer");
+                        let now = entry.clock.now();
+                        stores.borrow_mut().record_failure(now, address);
+                    }
+                    SessionEnd::Moved(better, stream) => {
+                        log::info!(store = address.to_string(), better = better.to_string(); "another store suits this entry better");
+                        connected = Some((better, stream));
+                    }
+                }
             }
             Ok((address, _)) => {
                 log::debug!(store = address.to_string(); "the store is already followed");
             }
             Err(error) => {
-                log::info!(stores = candidates.len(), reason = error.to_string(); "no store is reached");
+                log::info!(reason = error.to_string(); "no store is reached");
             }
         }
-        set_followed(&stores, slot, None);
+        stores.borrow_mut().release(slot);
         let now = entry.clock.now();
         entry.view.borrow_mut().disconnect(now, slot, A::tag);
-        compio::time::sleep(backoff.fail()).await;
+        if connected.is_none() {
+            compio::time::sleep(backoff.fail()).await;
+        }
     }
 }
 
+/// Waits until the store in the first slot has sent all endpoints, so that the other one need not
+/// send them again over a narrow link; not for long, since it may be down.
+async fn wait_for_first_push(entry: &Entry) {
+    let deadline = entry.clock.now() + FIRST_PUSH_TIMEOUT;
+    while !entry.view.borrow().complete() && entry.clock.now() < deadline {
+        compio::time::sleep(FIRST_PUSH_POLL).await;
+    }
+}
+
+/// Connects to one of the stores that suit a slot best; none if there is no candidate.
+async fn connect_for_slot(
+    entry: &Entry,
+    stores: &RefCell<StoreChoice>,
+    slot: usize,
+    backoff: Backoff,
+) -> Option<io::Result<(SocketAddrV4, TcpStream)>> {
+    let now = entry.clock.now();
+    let seeds = entry.seeds.borrow().clone();
+    let count = backoff.parallelism();
+    let candidates = {
+        let mut random = entry.random.borrow_mut();
+        let stores = stores.borrow();
+        stores.candidates(now, slot, &seeds, count, &mut *random)
+    };
+    if candidates.is_empty() {
+        return None;
+    }
+    let attempt = connect_any(&candidates, backoff.connect_timeout()).await;
+    if attempt.is_err() {
+        let now = entry.clock.now();
+        for store in candidates {
+            stores.borrow_mut().record_failure(now, store);
+        }
+    }
+    Some(attempt)
+}
+
 /// Connects to several stores at once and returns the first connection that is established.
 async fn connect_any(
     stores: &[SocketAddrV4],
@@ -141,87 +190,115 @@
     select_ok(attempts).await.map(|(first, _)| first)
 }
 
-/// Reserves a store for a slot; returns false if another slot follows it.
-fn reserve(stores: &RefCell<Stores>, slot: usize, address: SocketAddrV4) -> bool {
-    let taken = {
-        let stores = stores.borrow();
-        let mut others = stores.followed.iter().enumerate();
-        others.any(|(other, followed)| other != slot && *followed == Some(address))
-    };
-    if !taken {
-        set_followed(stores, slot, Some(address));
-    }
-    !taken
+/// A connection to a followed store.
+struct Session<'a> {
+    address: SocketAddrV4,
+    entry: &'a Entry,
+    slot: usize,
+    stores: &'a RefCell<StoreChoice>,
 }
 
-fn set_followed(stores: &RefCell<Stores>, slot: usize, address: Option<SocketAddrV4>) {
-    if let Some(followed) = stores.borrow_mut().followed.get_mut(slot) {
-        *followed = address;
+impl Session<'_> {
+    async fn run<A: Adapter>(&self, stream: TcpStream, staleness: &mut Staleness) -> SessionEnd {
+        let (mut sender, receiver) = split_frames::<Hello, Push>(stream);
+        let settings = &self.entry.settings;
+        let hello = Hello::Follower {
+            centre: settings.centre.clone(),
+            digest: self.entry.view.borrow().digest().into_buckets(),
+            name: settings.name.clone(),
+            version: self.entry.view.borrow().version(),
+        };
+        if let Err(error) = sender.send(&hello).await {
+            return SessionEnd::Lost(error);
+        }
+        log::info!(store = self.address.to_string(), slot = self.slot; "a store is followed");
+        let receiving = pin!(self.receive_pushes::<A>(receiver, staleness));
+        let sending = pin!(self.send_reports(sender.retype()));
+        let moving = pin!(self.find_better_store());
+        match select(select(receiving, sending), moving).await {
+            Either::Left((Either::Left((ended, _)) | Either::Right((ended, _)), _)) => {
+                let Err(error) = ended;
+                SessionEnd::Lost(error)
+            }
+            Either::Right(((address, stream), _)) => SessionEnd::Moved(address, stream),
+        }
     }
-}
 
-async fn session<A: Adapter>(
-    entry: &Entry,
-    stores: &RefCell<Stores>,
-    slot: usize,
-    address: SocketAddrV4,
-    stream: TcpStream,
-    staleness: &mut Staleness,
-) -> io::Result<Infallible> {
-    let (mut sender, receiver) = split_frames::<Hello, Push>(stream);
-    let hello = Hello::Entry {
-        name: entry.settings.name.clone(),
-        version: entry.view.borrow().version(),
-    };
-    sender.send(&hello).await?;
-    log::info!(store = address.to_string(); "a store is followed");
-    let receiving = pin!(receive_pushes::<A>(
-        entry, stores, slot, receiver, staleness
-    ));
-    let sending = pin!(send_reports(entry, slot, sender.retype()));
-    match select(receiving, sending).await {
-        Either::Left((result, _)) | Either::Right((result, _)) => result,
+    async fn receive_pushes<A: Adapter>(
+        &self,
+        mut receiver: Receiver<Push>,
+        staleness: &mut Staleness,
+    ) -> io::Result<Infallible> {
+        let entry = self.entry;
+        let unknown_changes = entry.view.borrow().unknown_changes();
+        loop {
+            let mut push = receiver.next().await?;
+            if !push.more && staleness.record(entry.clock.now(), push.current) {
+                return Err(io::Error::other("the store has no quorum"));
+            }
+            if !push.stores.is_empty() {
+                self.stores.borrow_mut().set_known(&push.stores);
+            }
+            let located = std::mem::take(&mut push.located);
+            self.stores.borrow_mut().locate(located);
+            let mut view = entry.view.borrow_mut();
+            if view.apply(entry.clock.now(), self.slot, push, A::tag) {
+                let (version, confirmed) = (view.version(), view.confirmed());
+                log::info!(version, confirmed; "a later document is in force");
+            }
+            if view.unknown_changes() > unknown_changes {
+                return Err(io::Error::other("an unknown endpoint has changed"));
+            }
+        }
     }
-}
 
-async fn receive_pushes<A: Adapter>(
-    entry: &Entry,
-    stores: &RefCell<Stores>,
-    slot: usize,
-    mut receiver: Receiver<Push>,
-    staleness: &mut Staleness,
-) -> io::Result<Infallible> {
-    loop {
-        let push = receiver.next().await?;
-        if !push.more && staleness.record(entry.clock.now(), push.current) {
-            return Err(io::Error::other("the store has no quorum"));
-        }
-        if !push.stores.is_empty() {
-            let mut stores = stores.borrow_mut();
-            stores.known = push.stores.iter().copied().collect();
+    /// Reports loads to the store in slot [`LOAD_SLOT`], and sends keepalives to the others.
+    async fn send_reports(&self, mut sender: Sender<FollowerReport>) -> io::Result<Infallible> {
+        if self.slot != LOAD_SLOT {
+            loop {
+                sender.send(&FollowerReport::default()).await?;
+                compio::time::sleep(KEEPALIVE_INTERVAL).await;
+            }
         }
-        let mut view = entry.view.borrow_mut();
-        if view.apply(entry.clock.now(), slot, push, A::tag) {
-            let (version, confirmed) = (view.version(), view.confirmed());
-            log::info!(version, confirmed; "a later document is in force");
+        let mut sent_at = Duration::ZERO;
+        let mut tracked = None;
+        loop {
+            let now = self.entry.clock.now();
+            let (loads, wanted) = {
+                let mut view = self.entry.view.borrow_mut();
+                (view.report_loads(), view.tracked())
+            };
+            let changed = tracked.as_ref() != Some(&wanted);
+            if changed || !loads.is_empty() || now.saturating_sub(sent_at) >= KEEPALIVE_INTERVAL {
+                let report = FollowerReport {
+                    loads,
+                    tracked: changed.then(|| wanted.to_vec()),
+                };
+                sender.send(&report).await?;
+                (sent_at, tracked) = (now, Some(wanted));
+            }
+            compio::time::sleep(REPORT_INTERVAL).await;
         }
     }
-}
 
-/// Sends load reports to the store in slot [`LOAD_SLOT`], and empty ones as keepalives to the
-/// others.
-async fn send_reports(
-    entry: &Entry,
-    slot: usize,
-    mut sender: Sender<LoadReport>,
-) -> io::Result<Infallible> {
-    let reports = slot == LOAD_SLOT;
-    loop {
-        let loads = match reports {
-            true => entry.view.borrow().loads(),
-            false => Vec::new(),
-        };
-        sender.send(&LoadReport { loads, reports }).await?;
-        compio::time::sleep(REPORT_INTERVAL).await;
+    /// Waits until a connection to a store that suits the slot better is established.
+    async fn find_better_store(&self) -> (SocketAddrV4, TcpStream) {
+        loop {
+            let pause = MOVE_PAUSE.mul_f64(self.entry.random.borrow_mut().random_range(0.5..1.5));
+            compio::time::sleep(pause).await;
+            let now = self.entry.clock.now();
+            let better = self.stores.borrow().better(now, self.slot);
+            let Some(better) = better else {
+                continue;
+            };
+            match connect(better, CONNECT_TIMEOUT).await {
+                Ok(stream) => return (better, stream),
+                Err(error) => {
+                    log::debug!(store = better.to_string(), reason = error.to_string(); "a better store is not reached");
+                    let now = self.entry.clock.now();
+                    self.stores.borrow_mut().record_failure(now, better);
+                }
+            }
+        }
     }
 }
--- a/crates/edge/src/frames.rs
+++ b/crates/edge/src/frames.rs
@@ -129,9 +129,28 @@
     ///
     /// The error of the system, the end of the connection, or a timeout.
     pub async fn next(&mut self) -> io::Result<T> {
+        self.next_as(|frame| postcard::from_bytes(frame)).await
+    }
+
+    /// Waits for the next frame, which may be of an earlier version of the program.
+    ///
+    /// # Errors
+    ///
+    /// The error of the system, the end of the connection, or a timeout.
+    pub async fn next_or_earlier<U: DeserializeOwned + Into<T>>(&mut self) -> io::Result<T> {
+        self.next_as(|frame| {
+            postcard::from_bytes(frame).or_else(|_| postcard::from_bytes::<U>(frame).map(U::into))
+        })
+        .await
+    }
+
+    async fn next_as(
+        &mut self,
+        decode: impl Fn(&[u8]) -> Result<T, postcard::Error>,
+    ) -> io::Result<T> {
         let next = compio::time::timeout(PEER_TIMEOUT, self.stream.next()).await;
         match next.map_err(|_| timed_out())? {
-            Some(frame) => postcard::from_bytes(&frame?).map_err(io::Error::other),
+            Some(frame) => decode(&frame?).map_err(io::Error::other),
             None => Err(io::ErrorKind::UnexpectedEof.into()),
         }
     }
--- a/crates/edge/src/internal_server.rs
+++ b/crates/edge/src/internal_server.rs
@@ -11,6 +11,7 @@
     time::Duration, //
 };
 
+use announcements::Digest;
 use compio::{
     net::{
         TcpListener,
@@ -29,36 +30,33 @@
 };
 
 use crate::{
+    follower::Follower,
     frames::{
         Receiver,
         Sender,
         split_frames, //
     },
     links,
-    load_delta::LoadDelta,
-    load_table::LoadTable,
+    load_sums::SourceKey,
     message::{
+        EarlierGossip,
         EndpointLoad,
+        FollowerReport,
         Gossip,
         GossipAck,
         Hello,
-        LoadReport,
+        Protocol,
         Push, //
     },
-    state::{
-        EntryReport,
-        StoreState, //
-    },
+    state::StoreState,
 };
 
 /// Interval of keepalives to an entry.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time for which changes are batched before they are sent to entries.
-const BATCH_TIME: Duration = Duration::from_millis(20);
-
-/// Largest number of endpoint records in one frame: some tens of kilobytes.
-const CHUNK_RECORDS: usize = 200;
+/// Largest number of endpoint records in one frame, some ten kilobytes: a slow link carries a frame
+/// within the timeout of the connection, and a store holds one for each follower that catches up.
+const MAX_RECORDS: usize = 200;
 
 /// Pause after a failure to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -79,13 +77,47 @@
 }
 
 async fn serve_connection(state: Rc<StoreState>, stream: TcpStream, peer: SocketAddr) {
-    let (sender, mut receiver) = split_frames::<GossipAck, Hello>(stream);
-    let result = match receiver.next().await {
-        Ok(Hello::Entry { name, version }) => {
-            serve_entry(&state, &name, version, sender.retype(), receiver.retype()).await
+    let (sender, mut receiver) = split_frames::<GossipAck, (Hello, Protocol)>(stream);
+    let hello = receiver.next_or_earlier::<Hello>().await;
+    let result = match hello {
+        Ok((Hello::Entry { name, version }, _)) => {
+            log::info!(entry = &*name; "an entry of an earlier version follows; it gets no loads");
+            serve_earlier_entry(&state, version, sender.retype(), receiver.retype()).await
         }
-        Ok(Hello::Store { centre, member }) => {
-            receive_gossip(&state, centre, &member, sender, receiver.retype()).await
+        Ok((
+            Hello::Follower {
+                centre,
+                digest,
+                name,
+                version,
+            },
+            _,
+        )) => {
+            let key = state.loads.borrow_mut().add_follower(&name);
+            let follower = Follower::new(centre, Some(key))
+                .with_known(Digest::from_buckets(digest), &state.registry.borrow());
+            let result = serve_follower(
+                &state,
+                &follower,
+                version,
+                sender.retype(),
+                receiver.retype(),
+            )
+            .await;
+            state.loads.borrow_mut().remove_follower(&name, key);
+            result
+        }
+        Ok((Hello::Store { centre, member }, protocol)) => {
+            let key = state.loads.borrow_mut().add_store();
+            let peer = GossipSource {
+                centre,
+                key,
+                member,
+                protocol,
+            };
+            let result = receive_gossip(&state, peer, sender, receiver.retype()).await;
+            state.loads.borrow_mut().remove_store(key);
+            result
         }
         Err(error) => Err(error),
     };
@@ -94,15 +126,34 @@
     }
 }
 
-async fn serve_entry(
+async fn serve_follower(
     state: &StoreState,
-    name: &str,
+    follower: &Follower,
     version: u64,
     sender: Sender<Push>,
-    receiver: Receiver<LoadReport>,
+    receiver: Receiver<FollowerReport>,
 ) -> io::Result<()> {
-    let sending = pin!(push(state, name, version, sender));
-    let receiving = pin!(receive_reports(state, name, receiver));
+    let sending = pin!(push(state, follower, version, sender));
+    let receiving = pin!(receive_reports(state, follower, receiver));
+    match select(sending, receiving).await {
+        Either::Left((result, _)) | Either::Right((result, _)) => result,
+    }
+}
+
+/// Serves an entry of an earlier version, which may be upgraded after the stores.
+async fn serve_earlier_entry(
+    state: &StoreState,
+    version: u64,
+    sender: Sender<Push>,
+    mut receiver: Receiver<(Vec<EndpointLoad>, bool)>,
+) -> io::Result<()> {
+    let follower = Follower::new(Box::default(), None);
+    let sending = pin!(push(state, &follower, version, sender));
+    let receiving = pin!(async {
+        loop {
+            receiver.next().await?;
+        }
+    });
     match select(sending, receiving).await {
         Either::Left((result, _)) | Either::Right((result, _)) => result,
     }
@@ -111,129 +162,128 @@
 /// Sends an entry all changes since its last push, and keepalives.
 async fn push(
     state: &StoreState,
-    name: &str,
+    follower: &Follower,
     mut version: u64,
     mut sender: Sender<Push>,
 ) -> io::Result<()> {
     let mut sent = 0;
     let mut stores = Vec::new();
+    let mut located = Vec::new();
     let mut was_current = false;
-    let mut delta = LoadDelta::default();
     let mut next_keepalive = Duration::ZERO;
     loop {
         let listener = state.changed.listen();
         let now = state.clock.now();
+        let page = {
+            let registry = state.registry.borrow();
+            registry.changed_page(now, sent, MAX_RECORDS, |known| follower.lacks(known))
+        };
+        sent = page.upto;
+        if page.more {
+            let part = Push {
+                more: true,
+                records: page.records,
+                states: page.states,
+                ..Push::default()
+            };
+            sender.send(&part).await?;
+            continue;
+        }
         let known: Vec<_> = state.peers.borrow().addresses().collect();
+        let locations = state.located_stores();
         let document = state.document.borrow().clone();
         let document = document.filter(|document| document.version > version);
-        let records = state.registry.borrow().changed_since(now, sent);
         let current = state.replica.borrow().raft().is_current(now);
         let regained = current && !was_current;
-        if document.is_some() || !records.is_empty() || regained || now >= next_keepalive {
-            sent = state.registry.borrow().last_change();
+        let changed = !page.records.is_empty() || !page.states.is_empty();
+        if document.is_some() || changed || regained || now >= next_keepalive {
             version = document
                 .as_ref()
                 .map_or(version, |document| document.version);
             let last = Push {
                 current,
                 document: document.map(|document| (*document).clone()),
-                loads: delta.update(state.loads_excluding(name)),
+                loads: follower.changed_loads(&state.loads.borrow()),
+                located: match locations == located {
+                    true => Vec::new(),
+                    false => locations.clone(),
+                },
                 more: false,
-                records,
+                records: page.records,
+                states: page.states,
                 stores: match known == stores {
                     true => Vec::new(),
                     false => known.clone(),
                 },
             };
-            for frame in chunks(last) {
-                sender.send(&frame).await?;
-            }
+            sender.send(&last).await?;
             was_current = current;
-            stores = known;
+            (stores, located) = (known, locations);
             next_keepalive = now + KEEPALIVE_INTERVAL;
         }
         let remaining = next_keepalive.saturating_sub(state.clock.now());
         if compio::time::timeout(remaining, listener).await.is_ok() {
-            compio::time::sleep(BATCH_TIME).await;
+            let followers = state.loads.borrow().followers();
+            compio::time::sleep(follower.batch_time(followers)).await;
         }
     }
 }
 
-/// Splits a push into frames that a slow link can carry within the timeout of the connection. Only
-/// the last one may mark the store as up to date.
-fn chunks(mut last: Push) -> Vec<Push> {
-    let mut frames = Vec::new();
-    while last.records.len() > CHUNK_RECORDS {
-        let rest = last.records.split_off(CHUNK_RECORDS);
-        let records = std::mem::replace(&mut last.records, rest);
-        frames.push(Push {
-            more: true,
-            records,
-            ..Push::default()
-        });
-    }
-    frames.push(last);
-    frames
-}
-
-/// Receives the load reports of an entry.
+/// Receives the reports of an entry.
 async fn receive_reports(
     state: &StoreState,
-    name: &str,
-    mut receiver: Receiver<LoadReport>,
+    follower: &Follower,
+    mut receiver: Receiver<FollowerReport>,
 ) -> io::Result<()> {
     loop {
         let report = receiver.next().await?;
-        if report.reports {
-            let now = state.clock.now();
-            let mut loads = state.loads.borrow_mut();
-            loads.insert(
-                name.into(),
-                EntryReport {
-                    at: now,
-                    loads: report.loads,
-                },
-            );
+        if let Some(tracked) = report.tracked {
+            follower.track(tracked);
+        }
+        if let Some(key) = follower.key() {
+            state.loads.borrow_mut().report(key, report.loads);
         }
     }
 }
 
+/// A store that sends gossip over a connection.
+struct GossipSource {
+    centre: Box<str>,
+    key: SourceKey,
+    member: Member,
+    protocol: Protocol,
+}
+
 /// Receives gossip from another store and acknowledges it.
 async fn receive_gossip(
     state: &Rc<StoreState>,
-    centre: Box<str>,
-    member: &Member,
+    source: GossipSource,
     mut sender: Sender<GossipAck>,
     mut receiver: Receiver<Gossip>,
 ) -> io::Result<()> {
+    let (member, key) = (&source.member, source.key);
     let SocketAddr::V4(address) = member.address else {
         return Err(io::ErrorKind::InvalidData.into());
     };
     links::connect_stores(state, [address]);
-    let located = Event::Locate(member.name.clone(), centre.clone());
+    let located = Event::Locate(member.name.clone(), source.centre.clone());
     state.replica.borrow_mut().push(located);
-    state.peers.borrow_mut().record_accepted(address, centre);
-    let mut table = LoadTable::default();
+    let (centre, protocol) = (source.centre, source.protocol);
+    state
+        .peers
+        .borrow_mut()
+        .record_accepted(address, centre, protocol);
     loop {
-        let mut gossip = receiver.next().await?;
+        let mut gossip = receiver.next_or_earlier::<EarlierGossip>().await?;
         let upto = gossip.upto;
         if let Some(changes) = gossip.loads.take() {
-            table.merge(changes);
-            set_peer_loads(state, address, table.loads());
+            state.loads.borrow_mut().merge(key, changes);
         }
         apply_gossip(state, member, address, gossip);
         sender.send(&GossipAck { upto }).await?;
     }
 }
 
-/// Stores the loads that another store reports.
-fn set_peer_loads(state: &StoreState, address: SocketAddrV4, loads: Vec<EndpointLoad>) {
-    let now = state.clock.now();
-    if let Some(peer) = state.peers.borrow_mut().get_mut(address) {
-        peer.loads = (now, loads);
-    }
-}
-
 fn apply_gossip(state: &Rc<StoreState>, member: &Member, address: SocketAddrV4, gossip: Gossip) {
     let now = state.clock.now();
     links::connect_stores(state, gossip.stores);
@@ -241,8 +291,9 @@
         peer.seen = now;
     }
     let before = state.registry.borrow().last_change();
-    for record in gossip.records {
-        state.registry.borrow_mut().merge(now, record);
+    state.merge(gossip.records);
+    for renewal in gossip.renewals {
+        state.registry.borrow_mut().renew(now, renewal);
     }
     let changed = !state
         .registry
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,12 +18,13 @@
 mod entry;
 mod error;
 mod follow;
+mod follower;
 mod forward;
 mod frames;
 mod internal_server;
 mod links;
 mod load_delta;
-mod load_table;
+mod load_sums;
 mod locality;
 mod logs;
 mod message;
@@ -38,6 +39,8 @@
 mod staleness;
 mod state;
 mod status;
+mod store_choice;
+mod store_loads;
 mod view;
 
 pub use crate::{
@@ -55,12 +58,20 @@
         Share, //
     },
     error::Error,
+    follower::Follower,
     load_delta::LoadDelta,
-    load_table::LoadTable,
+    load_sums::{
+        LoadStep,
+        LoadSums,
+        SourceKey, //
+    },
     locality::Locality,
     message::{
+        BUSY_UNITS,
         EndpointLoad,
-        Push, //
+        Protocol,
+        Push,
+        StoreLocation, //
     },
     peers::Peers,
     run::run,
@@ -69,5 +80,10 @@
         Settings, //
     },
     staleness::Staleness,
+    store_choice::StoreChoice,
+    store_loads::{
+        FollowerKey,
+        StoreLoads, //
+    },
     view::View,
 };
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -27,12 +27,12 @@
         connect,
         split_frames, //
     },
-    load_delta::LoadDelta,
     message::{
         EndpointLoad,
         Gossip,
         GossipAck,
-        Hello, //
+        Hello,
+        Protocol, //
     },
     state::StoreState,
 };
@@ -40,6 +40,13 @@
 /// Interval of keepalives to a store.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Largest number of endpoint records in one frame, about fifty kilobytes.
+const MAX_RECORDS: usize = 1_000;
+
+/// Interval of the loads of endpoints that are not in the store's data centre: its followers use
+/// them only for flows that overflow.
+const REMOTE_LOADS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Adds stores, and maintains a connection to each new one.
 pub fn connect_stores(state: &Rc<StoreState>, addresses: impl IntoIterator<Item = SocketAddrV4>) {
     for address in addresses {
@@ -108,12 +115,12 @@
     stream: TcpStream,
     lost: &mut bool,
 ) -> io::Result<Infallible> {
-    let (mut sender, receiver) = split_frames::<Hello, GossipAck>(stream);
+    let (mut sender, receiver) = split_frames::<(Hello, Protocol), GossipAck>(stream);
     let hello = Hello::Store {
         centre: state.settings.centre.clone(),
         member: state.member.clone(),
     };
-    sender.send(&hello).await?;
+    sender.send(&(hello, Protocol::CURRENT)).await?;
     if *lost {
         log::info!(store = address.to_string(); "another store is reached again");
         *lost = false;
@@ -131,7 +138,7 @@
     mut sender: Sender<Gossip>,
 ) -> io::Result<Infallible> {
     let mut sent = 0;
-    let mut delta = LoadDelta::default();
+    let mut loads_sent = LoadsSent::default();
     let mut next_keepalive = Duration::ZERO;
     loop {
         let wake = match state.peers.borrow_mut().get_mut(address) {
@@ -141,9 +148,10 @@
         let listener = wake.listen();
         let now = state.clock.now();
         let due = now >= next_keepalive;
-        let loads = due.then(|| delta.update(state.reported_loads()));
-        let gossip = gossip(state, address, sent, loads);
-        if due || !gossip.log.is_empty() || !gossip.records.is_empty() {
+        let loads = due.then(|| loads_sent.changes(state, now, address));
+        let (gossip, more) = gossip(state, address, sent, loads);
+        let changed = !gossip.records.is_empty() || !gossip.renewals.is_empty();
+        if due || changed || !gossip.log.is_empty() {
             sender.send(&gossip).await?;
             sent = gossip.upto;
         }
@@ -151,37 +159,86 @@
             next_keepalive = now + KEEPALIVE_INTERVAL;
         }
         let remaining = next_keepalive.saturating_sub(state.clock.now());
-        let _woken = compio::time::timeout(remaining, listener).await;
+        if !more {
+            let _woken = compio::time::timeout(remaining, listener).await;
+        }
+    }
+}
+
+/// Which changes of loads a store has been sent.
+#[derive(Debug, Default)]
+struct LoadsSent {
+    /// The last change of the store's own data centre.
+    near: u64,
+    /// The last change of the others.
+    remote: u64,
+    /// When the others are due again.
+    remote_due: Duration,
+}
+
+impl LoadsSent {
+    /// Loads that this store's followers report and that the other store lacks.
+    fn changes(
+        &mut self,
+        state: &StoreState,
+        now: Duration,
+        address: SocketAddrV4,
+    ) -> Vec<EndpointLoad> {
+        let centre = state
+            .peers
+            .borrow_mut()
+            .get_mut(address)
+            .and_then(|peer| peer.centre.clone());
+        let centre = centre.unwrap_or_default();
+        let loads = state.loads.borrow();
+        let local = loads.local();
+        let mut changes: Vec<_> = local.changed_since(&centre, self.near).collect();
+        if !centre.is_empty() {
+            self.near = local.last_change();
+        }
+        if now >= self.remote_due {
+            changes.extend(local.changed_elsewhere(&centre, self.remote));
+            self.remote = local.last_change();
+            self.remote_due = now + REMOTE_LOADS_INTERVAL;
+        }
+        changes
     }
 }
 
-/// Gossip for a store that has all changes up to `sent`. `loads` is set if a keepalive is due; only
-/// then are the known stores and a request to join included.
+/// Gossip for a store that has all changes up to `sent`, and whether more follows. `loads` is set
+/// if a keepalive is due; only then are the known stores and a request to join included.
 fn gossip(
     state: &StoreState,
     address: SocketAddrV4,
     sent: u64,
     loads: Option<Vec<EndpointLoad>>,
-) -> Gossip {
+) -> (Gossip, bool) {
     let due = loads.is_some();
     let mut peers = state.peers.borrow_mut();
     let stores = match due {
         true => peers.addresses().collect(),
         false => Vec::new(),
     };
-    let queue = peers
-        .get_mut(address)
-        .map(|peer| std::mem::take(&mut peer.queue));
+    let (queue, protocol) = match peers.get_mut(address) {
+        Some(peer) => (std::mem::take(&mut peer.queue), peer.protocol),
+        None => Default::default(),
+    };
     drop(peers);
     let registry = state.registry.borrow();
-    Gossip {
+    let page = match protocol >= Protocol::RENEWALS {
+        true => registry.updated_page(state.clock.now(), sent, MAX_RECORDS),
+        false => registry.updated_page_in_full(state.clock.now(), sent, MAX_RECORDS),
+    };
+    let gossip = Gossip {
         join: (due && state.needs_join()).then(|| state.member.clone()),
         loads,
-        log: queue.unwrap_or_default().into(),
-        records: registry.updated_since(state.clock.now(), sent),
+        log: queue.into(),
+        records: page.records,
+        renewals: page.renewals,
         stores,
-        upto: registry.last_change(),
-    }
+        upto: page.upto,
+    };
+    (gossip, page.more)
 }
 
 async fn receive_acks(
--- a/crates/edge/src/load_delta.rs
+++ b/crates/edge/src/load_delta.rs
@@ -11,6 +11,12 @@
 }
 
 impl LoadDelta {
+    /// What was last sent of an endpoint's load.
+    pub fn sent(&self, reference: u32) -> EndpointLoad {
+        let sent = self.sent.get(&reference).copied();
+        sent.unwrap_or(EndpointLoad::idle(reference))
+    }
+
     /// The changes since the last call; an endpoint that no longer has load is included as idle.
     pub fn update(&mut self, loads: Vec<EndpointLoad>) -> Vec<EndpointLoad> {
         let loads: BTreeMap<_, _> = loads
@@ -21,11 +27,7 @@
             .values()
             .filter(|loaded| self.sent.get(&loaded.reference) != Some(loaded));
         let removed = self.sent.keys().filter(|key| !loads.contains_key(key));
-        let idle = removed.map(|reference| EndpointLoad {
-            busy: 0,
-            flows: 0,
-            reference: *reference,
-        });
+        let idle = removed.map(|reference| EndpointLoad::idle(*reference));
         let changes = changed.copied().chain(idle).collect();
         self.sent = loads;
         changes
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -5,7 +5,11 @@
 
 use std::net::SocketAddrV4;
 
-use announcements::Record;
+use announcements::{
+    Record,
+    Renewal,
+    StateChange, //
+};
 use serde::{
     Deserialize,
     Serialize, //
@@ -18,7 +22,7 @@
 #[derive(Clone, Debug)]
 #[derive(Deserialize, Serialize)]
 pub enum Hello {
-    /// An entry, with the version of its document.
+    /// An entry of an earlier version of this program, which receives no loads.
     Entry {
         /// Its name.
         name: Box<str>,
@@ -32,13 +36,38 @@
         /// The store as a member of the cluster.
         member: Member,
     },
+    /// An entry that reports loads and receives those of its data centre.
+    Follower {
+        /// Its data centre.
+        centre: Box<str>,
+        /// Buckets of the digest of the endpoints that it knows.
+        digest: Vec<u64>,
+        /// Its name.
+        name: Box<str>,
+        /// The version of its document; 0 if it has none.
+        version: u64,
+    },
+}
+
+/// Version of the protocol that a store speaks, sent after its [`Hello`]. Stores of version 0 send
+/// none.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+pub struct Protocol(pub u16);
+
+impl Protocol {
+    /// The version of this program.
+    pub const CURRENT: Self = Self(1);
+
+    /// The first version with renewals.
+    pub const RENEWALS: Self = Self(1);
 }
 
 /// The load of one endpoint, as observed by one or more entries.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct EndpointLoad {
-    /// Pending requests: sent, but without a first byte of response.
+    /// Mean number of pending requests, in units of 1 / [`BUSY_UNITS`].
     pub busy: u32,
     /// Open flows.
     pub flows: u32,
@@ -46,6 +75,31 @@
     pub reference: u32,
 }
 
+/// Units in which loads give the mean number of pending requests, for each request: fine enough for
+/// the sum over hundreds of entries.
+pub const BUSY_UNITS: u16 = 128;
+
+impl EndpointLoad {
+    /// No load.
+    pub const fn idle(reference: u32) -> Self {
+        Self {
+            busy: 0,
+            flows: 0,
+            reference,
+        }
+    }
+}
+
+/// Where a store is.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct StoreLocation {
+    /// Its internal address.
+    pub address: SocketAddrV4,
+    /// Its data centre.
+    pub centre: Box<str>,
+}
+
 /// Changes that a store sends to an entry that follows it; an empty one is a keepalive.
 #[derive(Clone, Debug, Default)]
 #[derive(Deserialize, Serialize)]
@@ -54,7 +108,7 @@
     pub current: bool,
     /// A later document.
     pub document: Option<Document>,
-    /// Changed loads, as reported by other entries.
+    /// Changed loads of the endpoints that the entry tracks, summed over all entries.
     pub loads: Vec<EndpointLoad>,
     /// Whether another frame of the same push follows.
     pub more: bool,
@@ -62,16 +116,22 @@
     pub records: Vec<Record>,
     /// Internal addresses of all known stores, if they have changed.
     pub stores: Vec<SocketAddrV4>,
+    /// Data centres of the known stores, if they have changed. Earlier versions of this program
+    /// ignore this field and those after it.
+    pub located: Vec<StoreLocation>,
+    /// Endpoints whose state has changed and whose record the entry has.
+    pub states: Vec<StateChange>,
 }
 
-/// Loads that an entry reports to a store that it follows, or a keepalive without loads.
+/// What an entry reports to a store that it follows; an empty report is a keepalive.
 #[derive(Clone, Debug, Default)]
 #[derive(Deserialize, Serialize)]
-pub struct LoadReport {
-    /// Loads of the endpoints in use, if the entry reports them to this store.
+pub struct FollowerReport {
+    /// Changed loads of the endpoints in use, from the entry's own flows.
     pub loads: Vec<EndpointLoad>,
-    /// Whether the loads replace those of the previous report.
-    pub reports: bool,
+    /// References of the endpoints of other data centres whose loads the entry tracks, if they
+    /// have changed.
+    pub tracked: Option<Vec<u32>>,
 }
 
 /// Changes that a store sends to another; only keepalives carry `join`, `loads` and `stores`.
@@ -90,6 +150,41 @@
     pub stores: Vec<SocketAddrV4>,
     /// Number of the sender's last change that the records include.
     pub upto: u64,
+    /// Endpoints with a new heartbeat and no other change. Stores of protocol version 0 neither
+    /// send nor read this field.
+    pub renewals: Vec<Renewal>,
+}
+
+/// Gossip of a store of protocol version 0.
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
+pub struct EarlierGossip {
+    join: Option<Member>,
+    loads: Option<Vec<EndpointLoad>>,
+    log: Vec<Vec<u8>>,
+    records: Vec<Record>,
+    stores: Vec<SocketAddrV4>,
+    upto: u64,
+}
+
+impl From<EarlierGossip> for Gossip {
+    fn from(gossip: EarlierGossip) -> Self {
+        Self {
+            join: gossip.join,
+            loads: gossip.loads,
+            log: gossip.log,
+            records: gossip.records,
+            renewals: Vec::new(),
+            stores: gossip.stores,
+            upto: gossip.upto,
+        }
+    }
+}
+
+impl From<Hello> for (Hello, Protocol) {
+    fn from(hello: Hello) -> Self {
+        (hello, Protocol::default())
+    }
 }
 
 /// Acknowledges all gossip up to a change of its sender.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -12,7 +12,10 @@
 
 use event_listener::Event;
 
-use crate::message::EndpointLoad;
+use crate::message::{
+    Protocol,
+    StoreLocation, //
+};
 
 /// Limit of queued messages of the replicated log for one store; the oldest is dropped first.
 const MAX_QUEUED_MESSAGES: usize = 256;
@@ -32,8 +35,8 @@
     pub acknowledged: u64,
     /// Its data centre, once known.
     pub centre: Option<Box<str>>,
-    /// Loads that the entries that follow it report, and when they arrived.
-    pub loads: (Duration, Vec<EndpointLoad>),
+    /// Version of the protocol that it speaks; 0 until known.
+    pub protocol: Protocol,
     /// Queued messages of the replicated log.
     pub queue: VecDeque<Vec<u8>>,
     /// When its last frame arrived.
@@ -67,7 +70,7 @@
             accepted: Rc::default(),
             acknowledged: 0,
             centre: None,
-            loads: (now, Vec::new()),
+            protocol: Protocol::default(),
             queue: VecDeque::new(),
             seen: now,
             wake: Rc::default(),
@@ -92,10 +95,11 @@
         }
     }
 
-    /// Records an accepted connection from a store, and its data centre.
-    pub fn record_accepted(&mut self, address: SocketAddrV4, centre: Box<str>) {
+    /// Records an accepted connection from a store, its data centre and its protocol.
+    pub fn record_accepted(&mut self, address: SocketAddrV4, centre: Box<str>, protocol: Protocol) {
         if let Some(peer) = self.peers.get_mut(&address) {
             peer.centre = Some(centre);
+            peer.protocol = protocol;
             peer.accepted.notify(usize::MAX);
         }
     }
@@ -135,13 +139,14 @@
         self.peers.keys().copied().chain([self.own])
     }
 
-    /// Loads that the other stores have reported since `since`.
-    pub fn loads(&self, since: Duration) -> impl Iterator<Item = &EndpointLoad> {
-        let peers = self
-            .peers
-            .values()
-            .filter(move |peer| peer.loads.0 >= since);
-        peers.flat_map(|peer| &peer.loads.1)
+    /// The known stores whose data centre is known.
+    pub fn located(&self) -> impl Iterator<Item = StoreLocation> {
+        self.peers.iter().filter_map(|(address, peer)| {
+            Some(StoreLocation {
+                address: *address,
+                centre: peer.centre.clone()?,
+            })
+        })
     }
 
     /// Removes stores without a recent frame, except those for which `kept` returns true.
--- a/crates/edge/src/run_entry.rs
+++ b/crates/edge/src/run_entry.rs
@@ -101,7 +101,10 @@
     loop {
         compio::time::sleep(TICK_INTERVAL).await;
         let now = entry.clock.now();
-        entry.view.borrow_mut().tick(now);
+        entry
+            .view
+            .borrow_mut()
+            .tick(now, &mut *entry.random.borrow_mut());
         let orphans = entry.view.borrow_mut().orphans(now);
         for packet in orphans {
             let mut out = Vec::new();
@@ -125,16 +128,17 @@
         .set(i64::try_from(view.version()).unwrap_or(i64::MAX));
     metrics.stores.set(gauge(view.followed_stores()));
     metrics.quorum.set(i64::from(view.current()));
-    for (name, phase) in [
-        ("draining", Phase::Draining),
-        ("gone", Phase::Gone),
-        ("ready", Phase::Ready),
-        ("silent", Phase::Silent),
-    ] {
-        let endpoints = view.pool().iter();
-        metrics.set_endpoints(
-            name,
-            endpoints.filter(|endpoint| endpoint.phase == phase).count(),
-        );
+    let [mut draining, mut gone, mut ready, mut silent] = [0; 4];
+    for endpoint in view.pool().iter() {
+        match endpoint.phase {
+            Phase::Draining => draining += 1,
+            Phase::Gone => gone += 1,
+            Phase::Ready => ready += 1,
+            Phase::Silent => silent += 1,
+        }
     }
+    metrics.set_endpoints("draining", draining);
+    metrics.set_endpoints("gone", gone);
+    metrics.set_endpoints("ready", ready);
+    metrics.set_endpoints("silent", silent);
 }
--- a/crates/edge/src/run_store.rs
+++ b/crates/edge/src/run_store.rs
@@ -60,7 +60,8 @@
     peers::Peers,
     reload::reload_until_stop,
     settings::Settings,
-    state::StoreState, //
+    state::StoreState,
+    store_loads::StoreLoads, //
 };
 
 /// Interval of timer work.
@@ -172,12 +173,16 @@
     let clock = Clock::new();
     let mut registry = Registry::new(settings.heartbeat() * MISSED_HEARTBEATS);
     endpoint_file::load(&data, clock.now(), &mut registry);
+    let mut loads = StoreLoads::new();
+    for known in registry.iter() {
+        loads.locate(&known.announcement);
+    }
     let state = StoreState {
         changed: Wake::new(),
         clock,
         copies_acked: Wake::new(),
         document: RefCell::new(document_file::load(&data)),
-        loads: RefCell::default(),
+        loads: RefCell::new(loads),
         member: member(own, folder.id()),
         metrics: Metrics::new(),
         peers: RefCell::new(Peers::new(own)),
@@ -238,7 +243,11 @@
         });
         update_gauges(&state);
         let before = state.registry.borrow().last_change();
-        state.registry.borrow_mut().tick(now);
+        if state.registry.borrow_mut().tick(now) {
+            let registry = state.registry.borrow();
+            let known = |name: &str| registry.get(name).is_some();
+            state.loads.borrow_mut().retain(known);
+        }
         let changed = state.registry.borrow().changed_since(now, before);
         for record in &changed {
             log::info!(
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -183,9 +183,8 @@
 }
 
 /// Pending requests divided by slots: 1 if all slots are in use.
-fn utilisation(busy: u32, slots: u16) -> f32 {
-    let busy = u16::try_from(busy).unwrap_or(u16::MAX);
-    f32::from(busy) / f32::from(slots.max(1))
+fn utilisation(busy: f32, slots: u16) -> f32 {
+    busy / f32::from(slots.max(1))
 }
 
 fn count_endpoint(
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -6,10 +6,12 @@
         HashMap, //
     },
     net::SocketAddrV4,
+    rc::Rc,
     time::Duration, //
 };
 
 use announcements::{
+    Digest,
     Record,
     Registry,
     State, //
@@ -19,7 +21,7 @@
     Endpoint,
     EndpointKey,
     FlowKey,
-    Load,
+    MeanLoad,
     Phase,
     Pool,
     Progress,
@@ -34,8 +36,10 @@
         PacketKind, //
     },
     document::Document,
+    load_delta::LoadDelta,
     locality::Locality,
     message::{
+        BUSY_UNITS,
         EndpointLoad,
         Push, //
     },
@@ -53,6 +57,9 @@
 /// within 100 ms.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Interval at which expired records are searched for; they were kept for minutes by then.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
+
 /// State of one followed store.
 #[derive(Clone, Debug, Default)]
 struct Source {
@@ -75,10 +82,14 @@
 /// An entry's view of routes and endpoints.
 #[derive(Debug)]
 pub struct View {
+    /// Whether a store has sent its whole state since the start.
+    complete: bool,
     /// Whether a store that was up to date with a quorum has sent its whole state since the start.
     confirmed: bool,
     /// When the first document arrived.
     document_since: Option<Duration>,
+    /// When the registry was last searched for expired records.
+    expired_at: Duration,
     /// When all running endpoints must have been announced.
     learning_until: Duration,
     /// The entry's data centre, and the regions.
@@ -87,8 +98,14 @@
     pool: Pool,
     /// Announcement records; prevents older records from replacing later ones.
     registry: Registry,
+    /// The loads that were last reported to the store in [`LOAD_SLOT`].
+    reported: LoadDelta,
     routes: HashMap<SocketAddrV4, RouteTargets>,
     sources: [Source; FOLLOWED_STORES],
+    /// References of the endpoints of other data centres whose loads this entry tracks.
+    tracked: Rc<[u32]>,
+    /// Changes of endpoints that this entry did not know as the store assumed.
+    unknown_changes: u64,
     /// Version of the document in force; 0 if there is none.
     version: u64,
 }
@@ -100,15 +117,20 @@
     /// been announced yet.
     pub fn new(locality: Locality, learning_until: Duration) -> Self {
         Self {
+            complete: false,
             confirmed: false,
             document_since: None,
+            expired_at: Duration::ZERO,
             learning_until,
             locality,
             pool: Pool::new(),
             // Stores detect missed heartbeats: an entry receives a record only when it changes.
             registry: Registry::new(Duration::MAX / 4),
+            reported: LoadDelta::default(),
             routes: HashMap::new(),
             sources: Default::default(),
+            tracked: Rc::default(),
+            unknown_changes: 0,
             version: 0,
         }
     }
@@ -123,6 +145,22 @@
         &self.registry
     }
 
+    /// Number of changes of endpoints that this entry did not know as the store assumed; after one,
+    /// a new connection sets things right.
+    pub const fn unknown_changes(&self) -> u64 {
+        self.unknown_changes
+    }
+
+    /// Digest of the known endpoints, for a store that has sent nothing yet.
+    pub fn digest(&self) -> Digest {
+        Digest::new(self.registry.iter(), |_| false)
+    }
+
+    /// Whether a store has sent its whole state since the start.
+    pub const fn complete(&self) -> bool {
+        self.complete
+    }
+
     /// Version of the document in force; 0 if there is none.
     pub const fn version(&self) -> u64 {
         self.version
@@ -178,11 +216,12 @@
         if let Some(document) = later {
             self.apply_document(&document);
         }
-        let names: Vec<_> = push
+        let mut names: Vec<_> = push
             .records
             .iter()
             .map(|record| record.announcement.name.clone())
             .collect();
+        self.complete |= !push.more;
         if let Some(source) = self.sources.get_mut(slot) {
             source.followed = true;
             source.current = push.current || (push.more && source.current);
@@ -190,6 +229,15 @@
         for record in push.records {
             self.merge_record(now, slot, record);
         }
+        for change in push.states {
+            match self.registry.change_state(now, change) {
+                Some(name) => {
+                    self.set_silent(slot, &name, change.silent);
+                    names.push(name);
+                }
+                None => self.unknown_changes += 1,
+            }
+        }
         for name in names {
             self.update_endpoint(now, &name, &tag);
         }
@@ -211,6 +259,7 @@
         source.followed = false;
         if slot == LOAD_SLOT {
             self.pool.clear_external_loads();
+            self.reported = LoadDelta::default();
         }
         let names = std::mem::take(&mut source.silent);
         for name in names {
@@ -219,9 +268,18 @@
     }
 
     /// Expires flows, records and endpoints; must be called a few times a second.
-    pub fn tick(&mut self, now: Duration) {
+    pub fn tick(&mut self, now: Duration, random: &mut impl Rng) {
         self.pool.tick(now);
-        self.registry.tick(now);
+        if let Some(tracked) = self.pool.track_remote(random) {
+            self.tracked = tracked.into_iter().map(Reference::number).collect();
+        }
+        if now.saturating_sub(self.expired_at) < EXPIRY_INTERVAL {
+            return;
+        }
+        self.expired_at = now;
+        if !self.registry.tick(now) {
+            return;
+        }
         let registry = &self.registry;
         let expired: Vec<_> = self
             .pool
@@ -292,18 +350,21 @@
             .collect()
     }
 
-    /// Loads that this entry's own flows put on their endpoints.
-    pub fn loads(&self) -> Vec<EndpointLoad> {
-        let used = self
-            .pool
-            .iter()
-            .filter(|endpoint| endpoint.own_load() != Load::default());
-        used.map(|endpoint| EndpointLoad {
-            busy: endpoint.own_load().busy,
+    /// References of the endpoints of other data centres whose loads this entry tracks.
+    pub fn tracked(&self) -> Rc<[u32]> {
+        self.tracked.clone()
+    }
+
+    /// Loads that this entry's own flows put on their endpoints, as far as they have changed since
+    /// they were last reported to the store in [`LOAD_SLOT`].
+    pub fn report_loads(&mut self) -> Vec<EndpointLoad> {
+        let loads = self.pool.in_use().map(|endpoint| EndpointLoad {
+            busy: endpoint.mean_busy(BUSY_UNITS.into()),
             flows: endpoint.own_load().flows,
             reference: endpoint.reference.number(),
-        })
-        .collect()
+        });
+        let used = loads.filter(|load| *load != EndpointLoad::idle(load.reference));
+        self.reported.update(used.collect())
     }
 
     fn apply_document(&mut self, document: &Document) {
@@ -338,10 +399,14 @@
         let name = record.announcement.name.clone();
         let silent = record.silent;
         self.registry.merge(now, record);
+        self.set_silent(slot, &name, silent);
+    }
+
+    fn set_silent(&mut self, slot: usize, name: &str, silent: bool) {
         if let Some(source) = self.sources.get_mut(slot) {
             match silent {
-                true => source.silent.insert(name),
-                false => source.silent.remove(&name),
+                true => source.silent.insert(name.into()),
+                false => source.silent.remove(name),
             };
         }
     }
@@ -377,11 +442,14 @@
         self.pool.update(endpoint.with_distance(distance));
     }
 
-    fn update_load(&mut self, loaded: EndpointLoad) {
-        if let Some(reference) = Reference::from_number(loaded.reference) {
-            let load = Load {
-                busy: loaded.busy,
-                flows: loaded.flows,
+    /// Updates the load of an endpoint by other entries from the sum over all entries.
+    fn update_load(&mut self, total: EndpointLoad) {
+        let own = self.reported.sent(total.reference);
+        if let Some(reference) = Reference::from_number(total.reference) {
+            let busy = u16::try_from(total.busy.saturating_sub(own.busy)).unwrap_or(u16::MAX);
+            let load = MeanLoad {
+                busy: f32::from(busy) / f32::from(BUSY_UNITS),
+                flows: total.flows.saturating_sub(own.flows),
             };
             self.pool.set_external_load(reference, load);
         }
--- a/crates/placement/src/endpoint.rs
+++ b/crates/placement/src/endpoint.rs
@@ -7,7 +7,11 @@
 
 use crate::{
     distance::Distance,
-    load::Load,
+    load::{
+        Load,
+        MeanBusy,
+        MeanLoad, //
+    },
     reference::Reference,
     request::Request, //
 };
@@ -60,7 +64,7 @@
     /// Distance from the entry.
     pub distance: Distance,
     /// Load from the flows of other entries, as they report it.
-    pub external_load: Load,
+    pub external_load: MeanLoad,
     /// Start time of its process, which distinguishes its incarnations.
     pub incarnation: u64,
     /// Its name.
@@ -81,6 +85,12 @@
     pub(crate) backoff: (Duration, u32),
     /// Load from this entry's own flows.
     pub(crate) own_load: Load,
+    /// Whether it is among the endpoints in use, those with an own load or an average of it.
+    pub(crate) in_use: bool,
+    /// Whether it is in another data centre and its load is known nevertheless.
+    pub(crate) tracked: bool,
+    /// Average of the requests pending on this entry's own flows.
+    pub(crate) mean_busy: MeanBusy,
     /// When a client last acknowledged data from it.
     pub(crate) answered_at: Option<Duration>,
     /// Moving mean of the time from a request's last packet to the first byte of its response, in
@@ -97,9 +107,11 @@
             address,
             backoff: (Duration::ZERO, 0),
             distance: Distance::Centre,
-            external_load: Load::default(),
+            external_load: MeanLoad::default(),
+            in_use: false,
             incarnation,
             name: name.into(),
+            mean_busy: MeanBusy::default(),
             own_load: Load::default(),
             phase: Phase::Ready,
             answered_at: None,
@@ -109,6 +121,7 @@
             slots: 1,
             slow_until: Duration::ZERO,
             tag: 0,
+            tracked: false,
             unreachable_at: None,
         }
     }
@@ -148,9 +161,15 @@
         self.own_load
     }
 
-    /// Total load: this entry's flows and those that other entries report.
-    pub fn load(&self) -> Load {
-        self.own_load + self.external_load
+    /// Average of the requests pending on this entry's own flows, over about a second, rounded to
+    /// units of 1 / `units` requests.
+    pub fn mean_busy(&self, units: u32) -> u32 {
+        self.mean_busy.rounded(units)
+    }
+
+    /// Total load: this entry's flows now, and those that other entries report.
+    pub fn load(&self) -> MeanLoad {
+        MeanLoad::from(self.own_load) + self.external_load
     }
 
     /// Records an answer.
--- a/crates/placement/src/flow.rs
+++ b/crates/placement/src/flow.rs
@@ -64,16 +64,22 @@
         self
     }
 
-    /// Updates the flow and its endpoint from a packet; returns whether the endpoint is
-    /// unreachable.
-    pub fn record(&mut self, now: Duration, endpoint: &mut Endpoint, progress: Progress) -> bool {
+    /// Updates the flow and its endpoint, whose load was sampled at `sampled_at`, from a packet;
+    /// returns whether the endpoint is unreachable.
+    pub fn record(
+        &mut self,
+        now: Duration,
+        sampled_at: Duration,
+        endpoint: &mut Endpoint,
+        progress: Progress,
+    ) -> bool {
         self.seen_at = now;
         self.acknowledged = progress.acknowledged;
         if !self.established {
             self.established = true;
             endpoint.record_answer(now);
         }
-        self.end_request(now, endpoint, progress);
+        self.end_request(now, sampled_at, endpoint, progress);
         if progress.closing && !self.closed {
             self.closed = true;
             endpoint.own_load.flows = endpoint.own_load.flows.saturating_sub(1);
@@ -92,7 +98,13 @@
     }
 
     /// Ends the pending request once its response begins to arrive or the client closes the flow.
-    fn end_request(&mut self, now: Duration, endpoint: &mut Endpoint, progress: Progress) {
+    fn end_request(
+        &mut self,
+        now: Duration,
+        sampled_at: Duration,
+        endpoint: &mut Endpoint,
+        progress: Progress,
+    ) {
         let Some(request) = self.request else {
             return;
         };
@@ -105,6 +117,8 @@
         }
         if answered || progress.closing {
             self.request = None;
+            let pending = now.saturating_sub(request.first_at.max(sampled_at));
+            endpoint.mean_busy.add(pending);
             endpoint.own_load.busy = endpoint.own_load.busy.saturating_sub(1);
         }
     }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -13,6 +13,7 @@
 mod reference;
 mod request;
 mod selection;
+mod tracking;
 
 pub use crate::{
     distance::Distance,
@@ -23,7 +24,10 @@
         ServiceKey, //
     },
     flow::FlowKey,
-    load::Load,
+    load::{
+        Load,
+        MeanLoad, //
+    },
     pool::{
         Pool,
         Target, //
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -21,10 +21,15 @@
         Flow,
         FlowKey, //
     },
-    load::Load,
+    load::{
+        Load,
+        MeanBusy,
+        MeanLoad, //
+    },
     reference::Reference,
     request::Progress,
-    selection, //
+    selection,
+    tracking, //
 };
 
 /// Limit of tracked flows, which bounds the memory that a flood of opening packets can take.
@@ -66,6 +71,10 @@
     members: SecondaryMap<ServiceKey, Vec<EndpointKey>>,
     names: HashMap<Box<str>, EndpointKey>,
     references: HashMap<Reference, EndpointKey>,
+    /// Endpoints with a load of this entry's own flows now or not long ago.
+    in_use: Vec<EndpointKey>,
+    /// Whether endpoints have changed since the tracked ones were chosen.
+    remote_changed: bool,
     services: HashMap<Box<str>, ServiceKey>,
     /// Until when observations are ignored because the process was paused.
     paused_until: Duration,
@@ -99,6 +108,7 @@
     /// Inserts or updates an endpoint. Its observed load and health are kept unless it has
     /// restarted.
     pub fn update(&mut self, endpoint: Endpoint) {
+        self.remote_changed = true;
         match self.names.get(&endpoint.name).copied() {
             Some(key) => self.replace(key, endpoint),
             None => self.insert(endpoint),
@@ -122,6 +132,22 @@
         }
     }
 
+    /// Chooses the remote endpoints whose loads this entry has to know, if endpoints have changed;
+    /// returns their references in that case.
+    ///
+    /// All endpoints of the own data centre are known besides. The number of the others does not
+    /// grow with the deployment.
+    pub fn track_remote(&mut self, random: &mut impl Rng) -> Option<Vec<Reference>> {
+        if !std::mem::take(&mut self.remote_changed) {
+            return None;
+        }
+        for members in self.members.values() {
+            tracking::track_remote(&mut self.endpoints, members, random);
+        }
+        let tracked = self.endpoints.values().filter(|endpoint| endpoint.tracked);
+        Some(tracked.map(|endpoint| endpoint.reference).collect())
+    }
+
     /// Selects an endpoint for the opening packet of a flow, or for a copy of it.
     ///
     /// A copy means that the endpoint did not answer the previous packet, so another one is
@@ -198,16 +224,23 @@
         self.endpoints.values()
     }
 
+    /// Endpoints with a load of this entry's own flows, now or not long ago.
+    pub fn in_use(&self) -> impl Iterator<Item = &Endpoint> {
+        self.in_use
+            .iter()
+            .filter_map(|key| self.endpoints.get(*key))
+    }
+
     /// Number of tracked flows.
     pub fn flows(&self) -> usize {
         self.flows.len()
     }
 
     /// Sets an endpoint's load from the flows of other entries.
-    pub fn set_external_load(&mut self, reference: Reference, load: Load) {
+    pub fn set_external_load(&mut self, reference: Reference, load: impl Into<MeanLoad>) {
         let key = self.references.get(&reference).copied();
         if let Some(endpoint) = key.and_then(|key| self.endpoints.get_mut(key)) {
-            endpoint.external_load = load;
+            endpoint.external_load = load.into();
         }
     }
 
@@ -223,7 +256,7 @@
     /// Clears the loads that other entries reported.
     pub fn clear_external_loads(&mut self) {
         for endpoint in self.endpoints.values_mut() {
-            endpoint.external_load = Load::default();
+            endpoint.external_load = MeanLoad::default();
         }
     }
 
@@ -280,6 +313,7 @@
         if !self.paused(now) {
             self.record_refusals(now);
         }
+        self.sample_loads(now);
         self.ticked_at = now;
         let expired: Vec<_> = self
             .flows
@@ -308,6 +342,32 @@
         }
     }
 
+    /// Updates the average of pending requests of each endpoint.
+    fn sample_loads(&mut self, now: Duration) {
+        let since = self.ticked_at;
+        for flow in self.flows.values() {
+            let endpoint = self.endpoints.get_mut(flow.endpoint);
+            if let (Some(request), Some(endpoint)) = (flow.request, endpoint) {
+                let pending = now.saturating_sub(request.first_at.max(since));
+                endpoint.mean_busy.add(pending);
+            }
+        }
+        let interval = now.saturating_sub(since);
+        let endpoints = &mut self.endpoints;
+        self.in_use.retain(|key| {
+            let Some(endpoint) = endpoints.get_mut(*key) else {
+                return false;
+            };
+            endpoint.mean_busy.sample(interval);
+            let idle = endpoint.own_load == Load::default() && endpoint.mean_busy.is_idle();
+            if idle {
+                endpoint.mean_busy = MeanBusy::default();
+                endpoint.in_use = false;
+            }
+            !idle
+        });
+    }
+
     fn select(
         &self,
         now: Duration,
@@ -371,6 +431,9 @@
             answered_at: existing.answered_at,
             response_time: existing.response_time,
             external_load: existing.external_load,
+            in_use: existing.in_use,
+            mean_busy: existing.mean_busy,
+            tracked: existing.tracked,
             own_load: existing.own_load,
             ..endpoint
         };
@@ -379,6 +442,7 @@
             existing.unreachable_at = None;
             existing.answered_at = None;
             existing.response_time = None;
+            existing.mean_busy = MeanBusy::default();
             existing.own_load = Load::default();
             self.flows.retain(|_, flow| flow.endpoint != key);
         }
@@ -411,6 +475,9 @@
         }
         if let Some(endpoint) = self.endpoints.get_mut(flow.endpoint) {
             endpoint.own_load.flows += 1;
+            if !std::mem::replace(&mut endpoint.in_use, true) {
+                self.in_use.push(flow.endpoint);
+            }
         }
         self.flows.insert(key, flow);
     }
@@ -440,7 +507,7 @@
             self.insert_flow(key, Flow::new(now, endpoint).with_established());
         }
         match (self.flows.get_mut(&key), self.endpoints.get_mut(endpoint)) {
-            (Some(flow), Some(endpoint)) => flow.record(now, endpoint, progress),
+            (Some(flow), Some(endpoint)) => flow.record(now, self.ticked_at, endpoint, progress),
             _ => false,
         }
     }
--- a/crates/placement/src/selection.rs
+++ b/crates/placement/src/selection.rs
@@ -103,10 +103,15 @@
     let mean_response_time = response_times.iter().sum::<f64>() / f64::max(count, 1.0);
     usable.shuffle(random);
     let sample = [Distance::Centre, Distance::Region, Distance::Far].map(|distance| {
-        let at_distance = usable
-            .iter()
-            .filter(move |(_, _, endpoint)| endpoint.distance == distance);
-        at_distance.take(SAMPLE_SIZE)
+        let at_distance = || {
+            let usable = usable.iter();
+            usable.filter(move |(_, _, endpoint)| endpoint.distance == distance)
+        };
+        // An endpoint whose load is unknown looks idle.
+        let any_tracked = at_distance().any(|(_, _, endpoint)| endpoint.tracked);
+        at_distance()
+            .filter(move |(_, _, endpoint)| endpoint.tracked || !any_tracked)
+            .take(SAMPLE_SIZE)
     });
     let sample = sample.into_iter().flatten();
     let costs = sample.map(|(_, key, endpoint)| (cost(now, endpoint, mean_response_time), *key));
--- a/crates/placement/tests/load.rs
+++ b/crates/placement/tests/load.rs
@@ -236,3 +236,113 @@
     // An even share would be 200 of the 800 flows.
     assert!(slow < 100, "{slow}");
 }
+
+/// Requests are short, and at the moment of a sample the endpoint happens to be idle: the load that
+/// is reported to other entries is the mean over time, not the number at that moment.
+#[test]
+fn mean_busy_idle_at_each_sample() {
+    const UNITS: u32 = 128;
+    let mut pool = Pool::new();
+    let service = pool.service("s");
+    let address = "10.0.0.1:80".parse().unwrap();
+    pool.update(Endpoint::new("i-1", 1, address, service));
+    let reference = Some(Reference::from_name("i-1"));
+    let packet = |acknowledged, length| Progress {
+        acknowledged,
+        length,
+        ..Progress::default()
+    };
+    for round in 0..20_u32 {
+        let start = Duration::from_millis(u64::from(round) * 250);
+        pool.tick(start);
+        for port in 1..=2 {
+            let flow = FlowKey {
+                client: format!("100.64.1.1:{port}").parse().unwrap(),
+                destination: "198.18.0.1:443".parse().unwrap(),
+            };
+            let (sent, answered) = (packet(round, 10), packet(round + 1, 0));
+            let done = start + Duration::from_millis(200);
+            pool.lookup(start, flow, reference, sent, true).unwrap();
+            pool.lookup(done, flow, reference, answered, true).unwrap();
+        }
+    }
+    pool.tick(Duration::from_secs(5));
+    let endpoint = pool.iter().next().unwrap();
+    assert_eq!(endpoint.own_load().busy, 0);
+    // Two flows, each busy for 200 of 250 ms.
+    let mean = f64::from(endpoint.mean_busy(UNITS)) / f64::from(UNITS);
+    assert!((1.5..=1.7).contains(&mean), "{mean}");
+}
+
+/// A request that is never answered counts from its start.
+#[test]
+fn mean_busy_stuck_request() {
+    const UNITS: u32 = 128;
+    let mut entries = Entries::new(1, 1, 0);
+    let (pool, random) = &mut entries.entries[0];
+    let flow = FlowKey {
+        client: "100.64.1.1:1".parse().unwrap(),
+        destination: "198.18.0.1:443".parse().unwrap(),
+    };
+    pool.tick(Duration::ZERO);
+    pool.open(Duration::ZERO, flow, &entries.targets, random)
+        .unwrap();
+    let request = Progress {
+        length: 10,
+        ..Progress::default()
+    };
+    let reference = Some(Reference::from_name("i-0"));
+    pool.lookup(Duration::ZERO, flow, reference, request, true)
+        .unwrap();
+    for tick in 1..=16 {
+        pool.tick(Duration::from_millis(tick * 250));
+    }
+    assert!(pool.iter().next().unwrap().mean_busy(UNITS) >= UNITS * 9 / 10);
+}
+
+/// A deployment of hundreds of endpoints: the loads that an entry has to know outside its own data
+/// centre do not grow with it, and those of a small one are known in full.
+#[test]
+fn track_remote_as_deployment_grows() {
+    for (local, remote, expected) in [(4, 10, 10), (10, 30, 6), (39, 195, 4), (0, 200, 16)] {
+        let mut entries = Entries::new(1, local, remote);
+        let (pool, random) = &mut entries.entries[0];
+        let tracked = pool.track_remote(random).unwrap();
+        assert_eq!(tracked.len(), expected, "{local} and {remote} endpoints");
+        assert_eq!(pool.track_remote(random), None, "nothing has changed");
+    }
+}
+
+/// A data centre overflows in each of 30 entries at once, none of which knows all endpoints of the
+/// others: the flows are spread over them, and go only to endpoints whose load is known.
+#[test]
+fn open_overflow_to_tracked_endpoints() {
+    let mut entries = Entries::new(30, 20, 100);
+    for number in 0..20 {
+        let load = Load { busy: 8, flows: 40 };
+        entries.report(&format!("i-{number}"), load);
+    }
+    for (pool, random) in &mut entries.entries {
+        pool.track_remote(random);
+    }
+    for port in 0..4 {
+        entries.open(Duration::ZERO, port);
+    }
+    let remote = entries.placed.iter();
+    let remote = remote.filter(|(name, _)| name[2..].parse::<u32>().unwrap() >= 20);
+    let most = remote.clone().map(|(_, count)| *count).max().unwrap();
+    assert_eq!(remote.map(|(_, count)| *count).sum::<u32>(), 120);
+    assert!(most <= CAPACITY, "{:?}", entries.placed);
+    for (number, (pool, random)) in entries.entries.iter_mut().enumerate() {
+        let endpoint = pool.iter().next().unwrap().clone();
+        pool.update(endpoint);
+        let tracked = pool.track_remote(random).unwrap();
+        let used = pool.iter().filter(|endpoint| endpoint.own_load().flows > 0);
+        let known = used.map(|endpoint| endpoint.reference);
+        let known: Vec<_> = known.collect();
+        assert!(
+            known.iter().all(|used| tracked.contains(used)),
+            "entry {number}"
+        );
+    }
+}
