Stores call the entries that they knew after a start

Ruled out: stores that open their folders slowly (0.2 ms at a restart); the first election (entries place flows without a quorum). Change: stores keep the addresses of all entries on disk, tell each other their followers, and call the entries by datagrams for three seconds after a start, until these answer. Metrics count what stores send, by part, and their followers. A cursor now says up to where everything was told (announcements/tests/registry.rs::page_while_endpoints_change, red without it).

--- a/crates/announcements/src/lib.rs
+++ b/crates/announcements/src/lib.rs
@@ -6,6 +6,7 @@
 //! has no clock: times are arguments and count from the start of the process.
 
 mod announcement;
+mod cursor;
 mod digest;
 mod page;
 mod rank;
@@ -19,6 +20,7 @@
         Announcement,
         State, //
     },
+    cursor::Cursor,
     digest::Digest,
     page::Page,
     rank::Rank,
--- a/crates/announcements/src/registry.rs
+++ b/crates/announcements/src/registry.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     announcement::Announcement,
+    cursor::Cursor,
     page::Page,
     rank::Rank,
     record::Record,
@@ -228,20 +229,20 @@
         page.records
     }
 
-    /// The first `limit` of the records that another store lacks if it has all changes up to
-    /// `since`. Those that it knows up to their last announcement are among the renewals.
-    pub fn updated_page(&self, now: Duration, since: u64, limit: usize) -> Page {
-        let mut page = self.page(now, &self.store_changes, since, limit, |_| true);
-        let renewal = |record: &Record| self.renewal(record, since);
+    /// The first `limit` of the records that another store lacks. Those that it knows up to their
+    /// last announcement are among the renewals.
+    pub fn updated_page(&self, now: Duration, cursor: Cursor, limit: usize) -> Page {
+        let mut page = self.page(now, &self.store_changes, cursor.sent(), limit, |_| true);
+        let renewal = |record: &Record| self.renewal(record, cursor);
         page.renewals = page.records.iter().filter_map(renewal).collect();
         page.records
-            .retain(|record| self.renewal(record, since).is_none());
+            .retain(|record| self.renewal(record, cursor).is_none());
         page
     }
 
     /// Like [`Self::updated_page`], without renewals.
-    pub fn updated_page_in_full(&self, now: Duration, since: u64, limit: usize) -> Page {
-        self.page(now, &self.store_changes, since, limit, |_| true)
+    pub fn updated_page_in_full(&self, now: Duration, cursor: Cursor, limit: usize) -> Page {
+        self.page(now, &self.store_changes, cursor.sent(), limit, |_| true)
     }
 
     /// Applies a renewal from another store; returns whether it was newer than the known record.
@@ -270,21 +271,21 @@
         true
     }
 
-    /// The first `limit` of the records that an entry lacks if it has all changes up to `since`.
-    /// `lacks` says which part of an endpoint's record it lacks otherwise.
+    /// The first `limit` of the records that an entry lacks by what it was told, and by `lacks`,
+    /// which says what it knew before.
     pub fn changed_page(
         &self,
         now: Duration,
-        since: u64,
+        cursor: Cursor,
         limit: usize,
         lacks: impl Fn(&KnownEndpoint) -> Lack,
     ) -> Page {
         let wanted = |known: &KnownEndpoint| lacks(known) != Lack::Nothing;
-        let mut page = self.page(now, &self.entry_changes, since, limit, wanted);
+        let mut page = self.page(now, &self.entry_changes, cursor.sent(), limit, wanted);
         let state_change = |record: &Record| {
             let known = self.endpoints.get(&record.announcement.name)?;
             let base_known = match lacks(known) {
-                Lack::Everything => known.base_change <= since,
+                Lack::Everything => cursor.covers(known.base_change),
                 Lack::State => true,
                 Lack::Nothing | Lack::Record => false,
             };
@@ -400,14 +401,13 @@
         true
     }
 
-    /// The renewal that replaces a record for a store that has all changes up to `since`; none if
-    /// that store lacks more of it.
-    fn renewal(&self, record: &Record, since: u64) -> Option<Renewal> {
+    /// The renewal that replaces a record for another store; none if that store lacks more of it.
+    fn renewal(&self, record: &Record, cursor: Cursor) -> Option<Renewal> {
         let announcement = &record.announcement;
         let known = self.endpoints.get(&announcement.name)?;
         let key = name_key(&announcement.name);
         let unique = self.keys.get(&key).is_some_and(Option::is_some);
-        (unique && known.full_change <= since && !record.departed).then(|| Renewal {
+        (unique && cursor.covers(known.full_change) && !record.departed).then(|| Renewal {
             age: record.age,
             incarnation: incarnation_bits(announcement.incarnation),
             key,
--- a/crates/announcements/tests/registry.rs
+++ b/crates/announcements/tests/registry.rs
@@ -4,6 +4,7 @@
 
 use mimosausher_announcements::{
     Announcement,
+    Cursor,
     Digest,
     Lack,
     Record,
@@ -204,6 +205,13 @@
     }
 }
 
+/// The cursor of a process that was told everything.
+fn told(registry: &Registry) -> Cursor {
+    let mut cursor = Cursor::default();
+    cursor.advance(&registry.changed_page(at(0), cursor, usize::MAX, |_| Lack::Everything));
+    cursor
+}
+
 /// Announcements of `count` endpoints, each at an address of its own.
 fn many(count: u8) -> Vec<Announcement> {
     let numbers = 0..count;
@@ -222,7 +230,9 @@
     for announcement in many(100) {
         own.announce(at(1), announcement);
     }
-    let first = own.updated_page(at(1), 0, usize::MAX);
+    let mut cursor = Cursor::default();
+    let first = own.updated_page(at(1), cursor, usize::MAX);
+    cursor.advance(&first);
     assert_eq!((first.records.len(), first.renewals.len()), (100, 0));
     for record in first.records {
         other.merge(at(1), record);
@@ -231,7 +241,7 @@
         announcement.sequence = 2;
         own.announce(at(3), announcement);
     }
-    let second = own.updated_page(at(3), first.upto, usize::MAX);
+    let second = own.updated_page(at(3), cursor, usize::MAX);
     assert_eq!((second.records.len(), second.renewals.len()), (0, 100));
     let bytes = postcard::to_stdvec(&second.renewals).unwrap().len();
     assert!(bytes <= 100 * 16, "{bytes} bytes");
@@ -255,7 +265,7 @@
 fn renew_late() {
     let (mut own, mut other) = (Registry::new(TIMEOUT), Registry::new(TIMEOUT));
     own.announce(at(1), announcement("a", 5, 1));
-    let known = own.last_change();
+    let known = told(&own);
     own.announce(at(2), announcement("a", 5, 2));
     let renewal = own.updated_page(at(2), known, 9).renewals[0];
     assert!(!other.renew(at(2), renewal), "not known at all");
@@ -274,7 +284,7 @@
     let (mut own, mut other) = (Registry::new(TIMEOUT), Registry::new(TIMEOUT));
     own.announce(at(1), announcement("a", 5, 1));
     other.announce(at(1), announcement("a", 5, 1));
-    let known = own.last_change();
+    let known = told(&own);
     other.tick(at(9));
     let silent = other.last_change();
     own.announce(at(9), announcement("a", 5, 2));
@@ -290,12 +300,12 @@
 fn updated_page_change_before_heartbeat() {
     let mut registry = Registry::new(TIMEOUT);
     registry.announce(at(1), announcement("a", 5, 1));
-    let known = registry.last_change();
+    let known = told(&registry);
     registry.announce(at(2), draining("a", 5, 2));
     registry.announce(at(3), draining("a", 5, 3));
     let page = registry.updated_page(at(3), known, 9);
     assert_eq!((page.records.len(), page.renewals.len()), (1, 0));
-    let page = registry.updated_page(at(3), page.upto, 9);
+    let page = registry.updated_page(at(3), told(&registry), 9);
     assert_eq!((page.records.len(), page.renewals.len()), (0, 0));
 }
 
@@ -307,21 +317,21 @@
         for announcement in many(100) {
             registry.announce(at(1), announcement);
         }
-        let (mut since, mut names) = (0, Vec::new());
+        let (mut cursor, mut names) = (Cursor::default(), Vec::new());
         loop {
-            let page = registry.changed_page(at(1), since, limit, |_| Lack::Everything);
+            let page = registry.changed_page(at(1), cursor, limit, |_| Lack::Everything);
             assert!(page.records.len() <= limit);
             names.extend(
                 page.records
-                    .into_iter()
-                    .map(|record| record.announcement.name),
+                    .iter()
+                    .map(|record| record.announcement.name.clone()),
             );
-            since = page.upto;
+            cursor.advance(&page);
             if !page.more {
                 break;
             }
         }
-        assert_eq!(since, registry.last_change());
+        assert_eq!(cursor.sent(), registry.last_change());
         names.sort();
         names.dedup();
         assert_eq!(names.len(), 100);
@@ -376,10 +386,10 @@
 #[test]
 fn changed_page_release() {
     let (mut store, mut entry) = (Registry::new(TIMEOUT), Registry::new(Duration::MAX / 4));
-    let mut sent = 0;
+    let mut cursor = Cursor::default();
     let mut follow = |store: &Registry, entry: &mut Registry, seconds| {
-        let page = store.changed_page(at(seconds), sent, usize::MAX, |_| Lack::Everything);
-        sent = page.upto;
+        let page = store.changed_page(at(seconds), cursor, usize::MAX, |_| Lack::Everything);
+        cursor.advance(&page);
         let counts = (page.records.len(), page.states.len());
         let bytes = postcard::to_stdvec(&page.states).unwrap().len();
         for record in page.records {
@@ -428,7 +438,7 @@
 fn change_state_unknown_endpoint() {
     let (mut store, mut entry) = (Registry::new(TIMEOUT), Registry::new(TIMEOUT));
     store.announce(at(1), announcement("a", 5, 1));
-    let known = store.last_change();
+    let known = told(&store);
     store.announce(at(2), draining("a", 5, 2));
     let change = store
         .changed_page(at(2), known, 9, |_| Lack::Everything)
@@ -438,3 +448,49 @@
     assert_eq!(entry.change_state(at(2), change), None);
     assert_eq!(entry.get("a").unwrap().announcement.state, State::Ready);
 }
+
+/// Endpoints change and send heartbeats while a process catches up page by page: what was not told
+/// yet must not be taken as known, since its first change was overtaken by a later one.
+#[test]
+fn page_while_endpoints_change() {
+    for limit in [3, 10, 40] {
+        let mut store = Registry::new(TIMEOUT);
+        let (mut entry, mut other) = (Registry::new(TIMEOUT), Registry::new(TIMEOUT));
+        for announcement in many(100) {
+            store.announce(at(1), announcement);
+        }
+        let (mut entry_cursor, mut store_cursor) = (Cursor::default(), Cursor::default());
+        for round in 0..200_u8 {
+            if round < 60 {
+                // The first ones, which come in the first pages, change again in the meantime.
+                let mut changed = many(100).remove(usize::from(round % 20));
+                changed.sequence = u64::from(round) + 2;
+                changed.state = State::Draining;
+                store.announce(at(1), changed);
+            }
+            let page = store.changed_page(at(1), entry_cursor, limit, |_| Lack::Everything);
+            entry_cursor.advance(&page);
+            for record in page.records {
+                entry.merge(at(1), record);
+            }
+            for change in page.states {
+                assert!(entry.change_state(at(1), change).is_some(), "limit {limit}");
+            }
+            let page = store.updated_page(at(1), store_cursor, limit);
+            store_cursor.advance(&page);
+            for record in page.records {
+                other.merge(at(1), record);
+            }
+            for renewal in page.renewals {
+                assert!(other.renew(at(1), renewal), "limit {limit}");
+            }
+        }
+        for follower in [&entry, &other] {
+            assert_eq!(follower.iter().count(), 100);
+            let draining = follower
+                .iter()
+                .filter(|known| known.announcement.state == State::Draining);
+            assert_eq!(draining.count(), 20);
+        }
+    }
+}
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -10,6 +10,7 @@
     time::Duration, //
 };
 
+use event_listener::Event;
 use process::Shutdown;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
@@ -30,6 +31,10 @@
 /// State shared by the tasks of an entry. No borrow is held across an await.
 #[derive(Debug)]
 pub struct Entry {
+    /// Notified when a store calls while no store is followed.
+    pub call: Event,
+    /// The store that called last.
+    pub called: Cell<Option<SocketAddrV4>>,
     pub clock: Clock,
     pub decisions: Decisions,
     /// Internal addresses of the seed stores.
@@ -47,6 +52,8 @@
     pub fn new(settings: Settings) -> Self {
         let locality = Locality::new(&settings.centre).with_regions(settings.regions.clone());
         Self {
+            call: Event::new(),
+            called: Cell::default(),
             clock: Clock::new(),
             decisions: Decisions::new(Metrics::new()),
             packet_at: Cell::default(),
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -166,7 +166,14 @@
     if candidates.is_empty() {
         return None;
     }
-    let attempt = connect_any(&candidates, backoff.connect_timeout()).await;
+    let attempt = {
+        let connecting = pin!(connect_any(&candidates, backoff.connect_timeout()));
+        let called = pin!(connect_to_caller(entry));
+        match select(connecting, called).await {
+            Either::Left((attempt, _)) => attempt,
+            Either::Right((connection, _)) => return Some(Ok(connection)),
+        }
+    };
     if attempt.is_err() {
         let now = entry.clock.now();
         for store in candidates {
@@ -176,6 +183,23 @@
     Some(attempt)
 }
 
+/// Waits until a connection to a store that has called is established.
+async fn connect_to_caller(entry: &Entry) -> (SocketAddrV4, TcpStream) {
+    loop {
+        let listener = entry.call.listen();
+        if let Some(store) = entry.called.take() {
+            match connect(store, CONNECT_TIMEOUT).await {
+                Ok(stream) => return (store, stream),
+                Err(error) => {
+                    log::debug!(store = store.to_string(), reason = error.to_string(); "a store that called is not reached");
+                }
+            }
+            continue;
+        }
+        listener.await;
+    }
+}
+
 /// Connects to several stores at once and returns the first connection that is established.
 async fn connect_any(
     stores: &[SocketAddrV4],
@@ -203,6 +227,7 @@
         let (mut sender, receiver) = split_frames::<Hello, Push>(stream);
         let settings = &self.entry.settings;
         let hello = Hello::Follower {
+            address: settings.advertised_address(),
             centre: settings.centre.clone(),
             digest: self.entry.view.borrow().digest().into_buckets(),
             name: settings.name.clone(),
--- a/crates/edge/src/frames.rs
+++ b/crates/edge/src/frames.rs
@@ -99,16 +99,18 @@
 }
 
 impl<T: Serialize> Sender<T> {
-    /// Sends a frame.
+    /// Sends a frame; returns its size in bytes, without its length prefix.
     ///
     /// # Errors
     ///
     /// The error of the system, or a timeout if the peer does not receive.
-    pub async fn send(&mut self, frame: &T) -> io::Result<()> {
+    pub async fn send(&mut self, frame: &T) -> io::Result<usize> {
         let bytes = postcard::to_stdvec(frame).map_err(io::Error::other)?;
+        let length = bytes.len();
         compio::time::timeout(PEER_TIMEOUT, self.sink.send(bytes.into()))
             .await
-            .map_err(|_| timed_out())?
+            .map_err(|_| timed_out())??;
+        Ok(length)
     }
 }
 
--- a/crates/edge/src/internal_server.rs
+++ b/crates/edge/src/internal_server.rs
@@ -11,7 +11,10 @@
     time::Duration, //
 };
 
-use announcements::Digest;
+use announcements::{
+    Cursor,
+    Digest, //
+};
 use compio::{
     net::{
         TcpListener,
@@ -86,6 +89,7 @@
         }
         Ok((
             Hello::Follower {
+                address,
                 centre,
                 digest,
                 name,
@@ -94,6 +98,8 @@
             _,
         )) => {
             let key = state.loads.borrow_mut().add_follower(&name);
+            let now = state.clock.now();
+            state.entries.borrow_mut().add_follower(now, address);
             let follower = Follower::new(centre, Some(key))
                 .with_known(Digest::from_buckets(digest), &state.registry.borrow());
             let result = serve_follower(
@@ -105,6 +111,8 @@
             )
             .await;
             state.loads.borrow_mut().remove_follower(&name, key);
+            let now = state.clock.now();
+            state.entries.borrow_mut().remove_follower(now, address);
             result
         }
         Ok((Hello::Store { centre, member }, protocol)) => {
@@ -166,7 +174,7 @@
     mut version: u64,
     mut sender: Sender<Push>,
 ) -> io::Result<()> {
-    let mut sent = 0;
+    let mut cursor = Cursor::default();
     let mut stores = Vec::new();
     let mut located = Vec::new();
     let mut was_current = false;
@@ -176,9 +184,9 @@
         let now = state.clock.now();
         let page = {
             let registry = state.registry.borrow();
-            registry.changed_page(now, sent, MAX_RECORDS, |known| follower.lacks(known))
+            registry.changed_page(now, cursor, MAX_RECORDS, |known| follower.lacks(known))
         };
-        sent = page.upto;
+        cursor.advance(&page);
         if page.more {
             let part = Push {
                 more: true,
@@ -186,7 +194,7 @@
                 states: page.states,
                 ..Push::default()
             };
-            sender.send(&part).await?;
+            send_push(state, &mut sender, &part).await?;
             continue;
         }
         let known: Vec<_> = state.peers.borrow().addresses().collect();
@@ -216,7 +224,7 @@
                     false => known.clone(),
                 },
             };
-            sender.send(&last).await?;
+            send_push(state, &mut sender, &last).await?;
             was_current = current;
             (stores, located) = (known, locations);
             next_keepalive = now + KEEPALIVE_INTERVAL;
@@ -229,6 +237,17 @@
     }
 }
 
+async fn send_push(state: &StoreState, sender: &mut Sender<Push>, push: &Push) -> io::Result<()> {
+    let bytes = sender.send(push).await?;
+    let metrics = &state.metrics;
+    metrics.count_sent("documents", push.document.iter().count());
+    metrics.count_sent("loads", push.loads.len());
+    metrics.count_sent("records", push.records.len());
+    metrics.count_sent("states", push.states.len());
+    metrics.count_sent_bytes("entries", bytes);
+    Ok(())
+}
+
 /// Receives the reports of an entry.
 async fn receive_reports(
     state: &StoreState,
@@ -292,6 +311,9 @@
     }
     let before = state.registry.borrow().last_change();
     state.merge(gossip.records);
+    if let Some(entries) = gossip.entries {
+        state.entries.borrow_mut().record(now, entries);
+    }
     for renewal in gossip.renewals {
         state.registry.borrow_mut().renew(now, renewal);
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,7 +8,9 @@
 mod adapter;
 mod admin;
 mod backoff;
+mod beacons;
 mod cache_file;
+mod calls;
 mod clock;
 mod control;
 mod decisions;
@@ -16,12 +18,14 @@
 mod document_file;
 mod endpoint_file;
 mod entry;
+mod entry_file;
 mod error;
 mod follow;
 mod follower;
 mod forward;
 mod frames;
 mod internal_server;
+mod known_entries;
 mod links;
 mod load_delta;
 mod load_sums;
@@ -52,6 +56,7 @@
         Reply, //
     },
     backoff::Backoff,
+    beacons::Beacons,
     document::{
         Document,
         Route,
@@ -59,6 +64,7 @@
     },
     error::Error,
     follower::Follower,
+    known_entries::KnownEntries,
     load_delta::LoadDelta,
     load_sums::{
         LoadStep,
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -1,6 +1,7 @@
 //! A store's connections to the other stores.
 
 use std::{
+    collections::BTreeSet,
     convert::Infallible,
     io,
     net::SocketAddrV4,
@@ -9,6 +10,7 @@
     time::Duration, //
 };
 
+use announcements::Cursor;
 use compio::{
     net::TcpStream,
     runtime::spawn, //
@@ -43,6 +45,9 @@
 /// Largest number of endpoint records in one frame, about fifty kilobytes.
 const MAX_RECORDS: usize = 1_000;
 
+/// Longest interval of the list of followers, which other stores keep for a minute.
+const ENTRIES_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Interval of the loads of endpoints that are not in the store's data centre: its followers use
 /// them only for flows that overflow.
 const REMOTE_LOADS_INTERVAL: Duration = Duration::from_secs(1);
@@ -137,8 +142,9 @@
     address: SocketAddrV4,
     mut sender: Sender<Gossip>,
 ) -> io::Result<Infallible> {
-    let mut sent = 0;
+    let mut cursor = Cursor::default();
     let mut loads_sent = LoadsSent::default();
+    let mut entries_sent = EntriesSent::default();
     let mut next_keepalive = Duration::ZERO;
     loop {
         let wake = match state.peers.borrow_mut().get_mut(address) {
@@ -149,11 +155,17 @@
         let now = state.clock.now();
         let due = now >= next_keepalive;
         let loads = due.then(|| loads_sent.changes(state, now, address));
-        let (gossip, more) = gossip(state, address, sent, loads);
+        let (mut gossip, more) = gossip(state, address, &mut cursor, loads);
+        gossip.entries = due.then(|| entries_sent.due(state, now)).flatten();
         let changed = !gossip.records.is_empty() || !gossip.renewals.is_empty();
         if due || changed || !gossip.log.is_empty() {
-            sender.send(&gossip).await?;
-            sent = gossip.upto;
+            let bytes = sender.send(&gossip).await?;
+            let (metrics, loads) = (&state.metrics, gossip.loads.as_ref().map_or(0, Vec::len));
+            metrics.count_sent("gossip_loads", loads);
+            metrics.count_sent("gossip_messages", gossip.log.len());
+            metrics.count_sent("gossip_records", gossip.records.len());
+            metrics.count_sent("gossip_renewals", gossip.renewals.len());
+            metrics.count_sent_bytes("stores", bytes);
         }
         if due {
             next_keepalive = now + KEEPALIVE_INTERVAL;
@@ -165,6 +177,28 @@
     }
 }
 
+/// Which followers a store has been told.
+#[derive(Debug, Default)]
+struct EntriesSent {
+    at: Option<Duration>,
+    entries: BTreeSet<SocketAddrV4>,
+}
+
+impl EntriesSent {
+    /// This store's followers, if they have changed or were not told for a while.
+    fn due(&mut self, state: &StoreState, now: Duration) -> Option<Vec<SocketAddrV4>> {
+        let entries = state.entries.borrow().followers();
+        let told = self
+            .at
+            .is_some_and(|at| now.saturating_sub(at) < ENTRIES_INTERVAL);
+        if told && entries == self.entries {
+            return None;
+        }
+        (self.at, self.entries) = (Some(now), entries);
+        Some(self.entries.iter().copied().collect())
+    }
+}
+
 /// Which changes of loads a store has been sent.
 #[derive(Debug, Default)]
 struct LoadsSent {
@@ -205,12 +239,12 @@
     }
 }
 
-/// Gossip for a store that has all changes up to `sent`, and whether more follows. `loads` is set
+/// The next gossip for a store, and whether more follows. `loads` is set
 /// if a keepalive is due; only then are the known stores and a request to join included.
 fn gossip(
     state: &StoreState,
     address: SocketAddrV4,
-    sent: u64,
+    cursor: &mut Cursor,
     loads: Option<Vec<EndpointLoad>>,
 ) -> (Gossip, bool) {
     let due = loads.is_some();
@@ -226,10 +260,12 @@
     drop(peers);
     let registry = state.registry.borrow();
     let page = match protocol >= Protocol::RENEWALS {
-        true => registry.updated_page(state.clock.now(), sent, MAX_RECORDS),
-        false => registry.updated_page_in_full(state.clock.now(), sent, MAX_RECORDS),
+        true => registry.updated_page(state.clock.now(), *cursor, MAX_RECORDS),
+        false => registry.updated_page_in_full(state.clock.now(), *cursor, MAX_RECORDS),
     };
+    cursor.advance(&page);
     let gossip = Gossip {
+        entries: None,
         join: (due && state.needs_join()).then(|| state.member.clone()),
         loads,
         log: queue.into(),
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -38,6 +38,8 @@
     },
     /// An entry that reports loads and receives those of its data centre.
     Follower {
+        /// Its internal address, at which stores can call it.
+        address: SocketAddrV4,
         /// Its data centre.
         centre: Box<str>,
         /// Buckets of the digest of the endpoints that it knows.
@@ -153,6 +155,9 @@
     /// Endpoints with a new heartbeat and no other change. Stores of protocol version 0 neither
     /// send nor read this field.
     pub renewals: Vec<Renewal>,
+    /// Internal addresses of the entries that follow the sender, if they are due. Not there in
+    /// protocol version 0 either.
+    pub entries: Option<Vec<SocketAddrV4>>,
 }
 
 /// Gossip of a store of protocol version 0.
@@ -170,6 +175,7 @@
 impl From<EarlierGossip> for Gossip {
     fn from(gossip: EarlierGossip) -> Self {
         Self {
+            entries: None,
             join: gossip.join,
             loads: gossip.loads,
             log: gossip.log,
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -37,6 +37,14 @@
     pub phase: String,
 }
 
+/// The label of counters by part of what a store sends.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
+pub struct PartLabel {
+    /// Name of the part.
+    pub part: String,
+}
+
 /// All metrics of the process.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -58,6 +66,12 @@
     pub placed: Counter,
     /// Whether a store has a quorum, or an entry follows a store that has one: 1 or 0.
     pub quorum: Gauge,
+    /// Documents, records, loads and the like that a store has sent, by part.
+    pub sent: Family<PartLabel, Counter>,
+    /// Bytes of frames that a store has sent, by the kind of receiver.
+    pub sent_bytes: Family<PartLabel, Counter>,
+    /// Entries that follow this store.
+    pub followers: Gauge,
     /// Refusals by result code.
     pub refusals: Family<CodeLabel, Counter>,
     /// Stores that an entry follows, or that a store can reach.
@@ -83,16 +97,29 @@
         let (stores, version) = (Gauge::default(), Gauge::default());
         let endpoints = Family::default();
         let refusals = Family::default();
+        let (sent, sent_bytes) = (Family::default(), Family::default());
+        let followers = Gauge::default();
         registry.register("call_seconds", "Time that calls took", calls.clone());
         registry.register("copies", "Copies of opening packets", copies.clone());
         registry.register("endpoints", "Endpoints by phase", endpoints.clone());
         registry.register("flows", "Flows remembered", flows.clone());
+        registry.register(
+            "followers",
+            "Entries that report to this store",
+            followers.clone(),
+        );
         registry.register("leads", "Whether this store leads", leads.clone());
         registry.register("orphans", "Idle flows reset", orphans.clone());
         registry.register("packets", "Packets that came", packets.clone());
         registry.register("placed", "Flows placed", placed.clone());
         registry.register("quorum", "Whether a quorum was in contact", quorum.clone());
         registry.register("refusals", "Refusals by result code", refusals.clone());
+        registry.register("sent", "Items sent, by part", sent.clone());
+        registry.register(
+            "sent_bytes",
+            "Bytes of frames sent, by receiver",
+            sent_bytes.clone(),
+        );
         registry.register("stores", "Stores followed or reached", stores.clone());
         registry.register(
             "unsent",
@@ -105,6 +132,7 @@
             copies,
             endpoints,
             flows,
+            followers,
             leads,
             orphans,
             packets,
@@ -113,6 +141,8 @@
             refusals,
             code_counts: Rc::default(),
             registry: Rc::new(registry),
+            sent,
+            sent_bytes,
             stores,
             unsent,
             version,
@@ -154,6 +184,24 @@
         self.calls.observe(time.as_secs_f64());
     }
 
+    /// Counts items that a store has sent.
+    pub fn count_sent(&self, part: &str, count: usize) {
+        if count > 0 {
+            let label = PartLabel { part: part.into() };
+            let count = u64::try_from(count).unwrap_or(u64::MAX);
+            self.sent.get_or_create(&label).inc_by(count);
+        }
+    }
+
+    /// Counts the bytes of a frame that a store has sent.
+    pub fn count_sent_bytes(&self, receiver: &str, bytes: usize) {
+        let label = PartLabel {
+            part: receiver.into(),
+        };
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.sent_bytes.get_or_create(&label).inc_by(bytes);
+    }
+
     /// Sets the number of endpoints in a phase.
     pub fn set_endpoints(&self, phase: &str, count: usize) {
         let label = PhaseLabel {
--- a/crates/edge/src/run_entry.rs
+++ b/crates/edge/src/run_entry.rs
@@ -26,6 +26,7 @@
 use crate::{
     adapter::Adapter,
     admin,
+    calls,
     entry::Entry,
     error::Error,
     follow,
@@ -73,6 +74,7 @@
     ))
     .detach();
     admin::serve(entry.clone()).await;
+    spawn(calls::receive_calls(entry.clone())).detach();
     follow::start::<A>(&entry);
     spawn(tick::<A>(entry.clone(), socket, port)).detach();
     let apply = |settings: Settings| *entry.seeds.borrow_mut() = settings.seed_addresses();
--- a/crates/edge/src/run_store.rs
+++ b/crates/edge/src/run_store.rs
@@ -46,12 +46,16 @@
 use crate::{
     adapter::Adapter,
     admin,
+    beacons::Beacons,
+    calls,
     clock::Clock,
     control::ControlHandler,
     document_file,
     endpoint_file,
+    entry_file,
     error::Error,
     internal_server,
+    known_entries::KnownEntries,
     links,
     metrics::{
         Metrics,
@@ -99,6 +103,9 @@
     spawn(drive::<A>(state.clone(), folder)).detach();
     spawn(document_file::persist(state.clone())).detach();
     spawn(endpoint_file::persist(state.clone())).detach();
+    spawn(entry_file::persist(state.clone())).detach();
+    let beacons = Beacons::new(state.clock.now(), state.entries.borrow().all());
+    spawn(calls::call_entries(state.clone(), beacons)).detach();
     spawn(tick(state.clone())).detach();
     let handler = ControlHandler::<A>::new(state.clone());
     spawn(process::serve(state.shutdown.clone(), listener, handler)).detach();
@@ -132,6 +139,9 @@
     metrics
         .stores
         .set(gauge(state.peers.borrow().reachable(now)));
+    metrics
+        .followers
+        .set(gauge(state.loads.borrow().followers()));
     let registry = state.registry.borrow();
     let silent = registry
         .iter()
@@ -172,7 +182,8 @@
     ));
     let clock = Clock::new();
     let mut registry = Registry::new(settings.heartbeat() * MISSED_HEARTBEATS);
-    endpoint_file::load(&data, clock.now(), &mut registry);
+    let now = clock.now();
+    endpoint_file::load(&data, now, &mut registry);
     let mut loads = StoreLoads::new();
     for known in registry.iter() {
         loads.locate(&known.announcement);
@@ -182,6 +193,7 @@
         clock,
         copies_acked: Wake::new(),
         document: RefCell::new(document_file::load(&data)),
+        entries: RefCell::new(KnownEntries::new(now, entry_file::load(&data))),
         loads: RefCell::new(loads),
         member: member(own, folder.id()),
         metrics: Metrics::new(),
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -21,6 +21,7 @@
 use crate::{
     clock::Clock,
     document::Document,
+    known_entries::KnownEntries,
     message::StoreLocation,
     metrics::Metrics,
     peers::Peers,
@@ -38,6 +39,8 @@
     pub copies_acked: Event,
     /// The document in force, decoded.
     pub document: RefCell<Option<Rc<Document>>>,
+    /// The known entries.
+    pub entries: RefCell<KnownEntries>,
     pub loads: RefCell<StoreLoads>,
     /// This store as a member of the cluster.
     pub member: Member,
