A call of a store ends the entry's attempts at others

Change: a call is tried first, and ends an attempt at others and the pause after one. The package experiment is in progress: a model of clients and endpoints that drives the real pools.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -134,7 +134,9 @@
         let now = entry.clock.now();
         entry.view.borrow_mut().disconnect(now, slot, A::tag);
         if connected.is_none() {
-            compio::time::sleep(backoff.fail()).await;
+            // A call of a store ends the pause.
+            let listener = entry.call.listen();
+            let _called = compio::time::timeout(backoff.fail(), listener).await;
         }
     }
 }
@@ -148,55 +150,46 @@
     }
 }
 
-/// Connects to one of the stores that suit a slot best; none if there is no candidate.
+/// Connects to the store that has called, or to one of those that suit a slot best; none if there is
+/// no candidate.
 async fn connect_for_slot(
     entry: &Entry,
     stores: &RefCell<StoreChoice>,
     slot: usize,
     backoff: Backoff,
 ) -> Option<io::Result<(SocketAddrV4, TcpStream)>> {
-    let now = entry.clock.now();
-    let seeds = entry.seeds.borrow().clone();
-    let count = backoff.parallelism();
-    let candidates = {
-        let mut random = entry.random.borrow_mut();
-        let stores = stores.borrow();
-        stores.candidates(now, slot, &seeds, count, &mut *random)
-    };
-    if candidates.is_empty() {
-        return None;
-    }
-    let attempt = {
-        let connecting = pin!(connect_any(&candidates, backoff.connect_timeout()));
-        let called = pin!(connect_to_caller(entry));
-        match select(connecting, called).await {
-            Either::Left((attempt, _)) => attempt,
-            Either::Right((connection, _)) => return Some(Ok(connection)),
-        }
-    };
-    if attempt.is_err() {
-        let now = entry.clock.now();
-        for store in candidates {
-            stores.borrow_mut().record_failure(now, store);
-        }
-    }
-    Some(attempt)
-}
-
-/// Waits until a connection to a store that has called is established.
-async fn connect_to_caller(entry: &Entry) -> (SocketAddrV4, TcpStream) {
     loop {
         let listener = entry.call.listen();
         if let Some(store) = entry.called.take() {
             match connect(store, CONNECT_TIMEOUT).await {
-                Ok(stream) => return (store, stream),
+                Ok(stream) => return Some(Ok((store, stream))),
                 Err(error) => {
                     log::debug!(store = store.to_string(), reason = error.to_string(); "a store that called is not reached");
                 }
             }
-            continue;
         }
-        listener.await;
+        let now = entry.clock.now();
+        let seeds = entry.seeds.borrow().clone();
+        let candidates = {
+            let mut random = entry.random.borrow_mut();
+            let (stores, count) = (stores.borrow(), backoff.parallelism());
+            stores.candidates(now, slot, &seeds, count, &mut *random)
+        };
+        if candidates.is_empty() {
+            return None;
+        }
+        let connecting = pin!(connect_any(&candidates, backoff.connect_timeout()));
+        match select(connecting, listener).await {
+            Either::Left((Ok(connection), _)) => return Some(Ok(connection)),
+            Either::Left((Err(error), _)) => {
+                let now = entry.clock.now();
+                for store in &candidates {
+                    stores.borrow_mut().record_failure(now, *store);
+                }
+                return Some(Err(error));
+            }
+            Either::Right(_) => {}
+        }
     }
 }
 
--- /dev/null
+++ b/crates/experiment/src/experiment.rs
@@ -0,0 +1,102 @@
+//! An experiment: a scenario at several loads, with several seeds and policies.
+
+use serde::Serialize;
+
+use crate::{
+    endpoints::Endpoints,
+    outcome::Outcome,
+    plan::Plan,
+    random_policy::RandomPolicy,
+    reference::central_queue,
+    scenario::Scenario,
+    shipped_policy::ShippedPolicy,
+    shortest_policy::ShortestPolicy,
+    simulation::Simulation, //
+};
+
+/// Names of the policies, in the order of the table.
+pub const POLICIES: [&str; 5] = [
+    "random",
+    "open-door",
+    "shipped",
+    "shortest",
+    "central-queue",
+];
+
+/// What one policy achieved in one run.
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
+pub struct Measurement {
+    /// Requests relative to those that the endpoints can just serve.
+    pub load: f64,
+    /// What became of the requests.
+    pub outcome: Outcome,
+    /// The policy.
+    pub policy: &'static str,
+    /// The seed.
+    pub seed: u64,
+    /// Worth of the answers as a share of what was owed.
+    pub worth: f64,
+}
+
+/// An experiment.
+#[derive(Clone, Debug)]
+pub struct Experiment {
+    /// Loads, relative to the capacity of the busiest service.
+    pub loads: Vec<f64>,
+    /// The scenario.
+    pub scenario: Scenario,
+    /// Seeds.
+    pub seeds: u64,
+}
+
+impl Experiment {
+    /// Number of runs.
+    pub fn runs(&self) -> u64 {
+        let loads = u64::try_from(self.loads.len()).unwrap_or(u64::MAX);
+        let policies = u64::try_from(POLICIES.len()).unwrap_or(u64::MAX);
+        loads.saturating_mul(policies).saturating_mul(self.seeds)
+    }
+
+    /// Plays all runs, and calls `progress` after each.
+    pub fn run(&self, mut progress: impl FnMut()) -> Vec<Measurement> {
+        let capacity = self.scenario.capacity();
+        let mut measurements = Vec::new();
+        for load in &self.loads {
+            for seed in 0..self.seeds {
+                let plan = Plan::new(&self.scenario, load * capacity, seed);
+                for policy in POLICIES {
+                    let outcome = self.play(&plan, policy, seed);
+                    measurements.push(Measurement {
+                        load: *load,
+                        worth: outcome.worth(),
+                        outcome,
+                        policy,
+                        seed,
+                    });
+                    progress();
+                }
+            }
+        }
+        measurements
+    }
+
+    fn play(&self, plan: &Plan, policy: &str, seed: u64) -> Outcome {
+        let scenario = &self.scenario;
+        match policy {
+            "random" => Simulation::new(scenario, plan, RandomPolicy::new(seed), seed).run(),
+            "open-door" => {
+                let endpoints = Endpoints::new(scenario);
+                let policy = ShippedPolicy::new(scenario, &endpoints, seed);
+                Simulation::new(scenario, plan, policy, seed).run()
+            }
+            "shipped" => {
+                let endpoints = Endpoints::new(scenario);
+                let policy = ShippedPolicy::new(scenario, &endpoints, seed).with_admission();
+                Simulation::new(scenario, plan, policy, seed).run()
+            }
+            "shortest" => Simulation::new(scenario, plan, ShortestPolicy, seed).run(),
+            _ => central_queue(scenario, plan),
+        }
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/main.rs
@@ -0,0 +1,7 @@
+//! Command line for experiments on placement.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    mimosausher_experiment::run()
+}
--- /dev/null
+++ b/crates/experiment/src/plan.rs
@@ -0,0 +1,81 @@
+//! The requests of a run, drawn before it starts, so that all policies meet the same ones.
+
+use std::time::Duration;
+
+use rand::{
+    Rng,
+    SeedableRng as _, //
+};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{
+    Distribution as _,
+    Exp,
+    LogNormal, //
+};
+
+use crate::scenario::{
+    Scenario,
+    millis, //
+};
+
+/// Spread of the work of requests of one kind: the standard deviation of its logarithm.
+const WORK_SPREAD: f64 = 0.5;
+
+/// A request of a client.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Arrival {
+    /// When its client sends it first.
+    pub at: Duration,
+    /// Data centre of the client.
+    pub centre: usize,
+    /// Its kind.
+    pub kind: usize,
+    /// Work at an endpoint that is not slow.
+    pub work: Duration,
+}
+
+/// The requests of a run, in the order of their times.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The requests.
+    pub arrivals: Vec<Arrival>,
+}
+
+impl Plan {
+    /// Draws the requests of a scenario at a load: 1 is the scenario's own.
+    pub fn new(scenario: &Scenario, load: f64, seed: u64) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let end = scenario.duration();
+        let mut arrivals = Vec::new();
+        for (number, kind) in scenario.kinds.iter().enumerate() {
+            let peak = scenario.peak();
+            let (Ok(gap), Ok(work)) = (
+                Exp::new(kind.rate * load * peak),
+                // The mean of this distribution is the kind's mean work.
+                LogNormal::new(
+                    kind.work_ms.ln() - WORK_SPREAD * WORK_SPREAD / 2.0,
+                    WORK_SPREAD,
+                ),
+            ) else {
+                continue;
+            };
+            let mut at = Duration::ZERO;
+            loop {
+                at += Duration::from_secs_f64(gap.sample(&mut random));
+                if at >= end {
+                    break;
+                }
+                if random.random_bool((scenario.burst(at) / peak).clamp(0.0, 1.0)) {
+                    arrivals.push(Arrival {
+                        at,
+                        centre: random.random_range(0..scenario.entries.len()),
+                        kind: number,
+                        work: millis(work.sample(&mut random)),
+                    });
+                }
+            }
+        }
+        arrivals.sort_by_key(|arrival| arrival.at);
+        Self { arrivals }
+    }
+}
