--- a/crates/experiment/src/policy.rs
+++ b/crates/experiment/src/policy.rs
@@ -13,8 +13,6 @@
     pub entry: usize,
     /// The addresses of the flow.
     pub key: placement::FlowKey,
-    /// Latency objective of its requests.
-    pub objective: Duration,
     /// Number of the service.
     pub service: usize,
 }
--- a/crates/experiment/src/shipped_policy.rs
+++ b/crates/experiment/src/shipped_policy.rs
@@ -45,8 +45,6 @@
 /// The entries' real endpoint pools.
 #[derive(Debug)]
 pub struct ShippedPolicy {
-    /// Whether a flow is refused if its request cannot be answered in time.
-    admission: bool,
     names: HashMap<Box<str>, usize>,
     pools: Vec<Pool>,
     random: ChaCha8Rng,
@@ -59,7 +57,6 @@
     /// Creates the pools of all entries of a scenario.
     pub fn new(scenario: &Scenario, endpoints: &Endpoints, seed: u64) -> Self {
         let mut policy = Self {
-            admission: false,
             names: HashMap::new(),
             pools: Vec::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -74,12 +71,6 @@
         policy
     }
 
-    /// Refuses a flow if its request cannot be answered in time.
-    pub const fn with_admission(mut self) -> Self {
-        self.admission = true;
-        self
-    }
-
     fn add_entry(&mut self, scenario: &Scenario, endpoints: &Endpoints, centre: usize) {
         let mut pool = Pool::new();
         let services = scenario.services.iter();
@@ -146,13 +137,7 @@
     fn open(&mut self, now: Duration, flow: FlowView, _endpoints: &Endpoints) -> Option<usize> {
         let target = *self.targets.get(flow.service)?;
         let pool = self.pools.get_mut(flow.entry)?;
-        let objective = match self.admission {
-            true => flow.objective.mul_f64(0.35),
-            false => Duration::MAX,
-        };
-        let key = pool
-            .open_within(now, flow.key, &[target], objective, &mut self.random)
-            .ok()?;
+        let key = pool.open(now, flow.key, &[target], &mut self.random).ok()?;
         self.names.get(&pool.get(key)?.name).copied()
     }
 
--- a/crates/experiment/src/simulation.rs
+++ b/crates/experiment/src/simulation.rs
@@ -242,7 +242,6 @@
                     client,
                     destination,
                 },
-                objective: millis(kind.aim_ms),
                 service,
             },
         });
--- a/crates/placement/src/endpoint.rs
+++ b/crates/placement/src/endpoint.rs
@@ -96,9 +96,6 @@
     /// Moving mean of the time from a request's last packet to the first byte of its response, in
     /// seconds; none before the first response.
     pub(crate) response_time: Option<f64>,
-    /// Moving mean of the time that a request takes without waiting for others, in seconds; none
-    /// before the first response.
-    pub(crate) work_time: Option<f64>,
     /// When a retransmission last showed that it is unreachable (see `record_retransmission`).
     pub(crate) unreachable_at: Option<Duration>,
 }
@@ -126,7 +123,6 @@
             tag: 0,
             tracked: false,
             unreachable_at: None,
-            work_time: None,
         }
     }
 
@@ -176,11 +172,6 @@
         MeanLoad::from(self.own_load) + self.external_load
     }
 
-    /// Requests for each slot, with `more` beside the pending ones.
-    pub(crate) fn pressure(&self, more: f64) -> f64 {
-        (f64::from(self.load().busy) + more) / f64::from(self.slots.max(1))
-    }
-
     /// Records an answer.
     pub(crate) fn record_answer(&mut self, now: Duration) {
         self.backoff = (Duration::ZERO, 0);
@@ -193,9 +184,6 @@
         let time = time.as_secs_f64();
         let mean = self.response_time.unwrap_or(time);
         self.response_time = Some(mean + (time - mean) * RESPONSE_TIME_WEIGHT);
-        let work = time / self.pressure(0.0).max(1.0);
-        let mean = self.work_time.unwrap_or(work);
-        self.work_time = Some(mean + (work - mean) * RESPONSE_TIME_WEIGHT);
     }
 
     /// Records a retransmitted request; returns whether the endpoint is unreachable: it has
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -28,10 +28,7 @@
     },
     reference::Reference,
     request::Progress,
-    selection::{
-        self,
-        Choice, //
-    },
+    selection,
     tracking, //
 };
 
@@ -165,22 +162,6 @@
         flow: FlowKey,
         targets: &[Target],
         random: &mut impl Rng,
-    ) -> Result<EndpointKey, Code> {
-        self.open_within(now, flow, targets, Duration::MAX, random)
-    }
-
-    /// Like [`Self::open`], unless no request of the flow could be answered within `objective`.
-    ///
-    /// # Errors
-    ///
-    /// [`Code::FlowOverloaded`] in that case; and those of [`Self::open`].
-    pub fn open_within(
-        &mut self,
-        now: Duration,
-        flow: FlowKey,
-        targets: &[Target],
-        objective: Duration,
-        random: &mut impl Rng,
     ) -> Result<EndpointKey, Code> {
         let former = self
             .flows
@@ -194,13 +175,9 @@
             }
         }
         let excluded = former.map(|former| former.endpoint);
-        let choice = self
+        let key = self
             .select(now, targets, excluded, random)
             .ok_or(Code::FlowNoEndpoint)?;
-        if choice.response_time > objective.as_secs_f64() {
-            return Err(Code::FlowOverloaded);
-        }
-        let key = choice.key;
         self.remove_flow(&flow);
         self.insert_flow(flow, Flow::new(now, key));
         Ok(key)
@@ -397,7 +374,7 @@
         targets: &[Target],
         excluded: Option<EndpointKey>,
         random: &mut impl Rng,
-    ) -> Option<Choice<EndpointKey>> {
+    ) -> Option<EndpointKey> {
         let total: u32 = targets.iter().map(|target| target.weight).sum();
         let mut draw = random.random_range(0..total.max(1));
         let first = targets.iter().position(|target| {
@@ -417,7 +394,7 @@
         service: ServiceKey,
         excluded: Option<EndpointKey>,
         random: &mut impl Rng,
-    ) -> Option<Choice<EndpointKey>> {
+    ) -> Option<EndpointKey> {
         let members = self.members.get(service)?;
         let candidates = || {
             let known = members
@@ -453,7 +430,6 @@
             unreachable_at: existing.unreachable_at,
             answered_at: existing.answered_at,
             response_time: existing.response_time,
-            work_time: existing.work_time,
             external_load: existing.external_load,
             in_use: existing.in_use,
             mean_busy: existing.mean_busy,
@@ -466,7 +442,6 @@
             existing.unreachable_at = None;
             existing.answered_at = None;
             existing.response_time = None;
-            existing.work_time = None;
             existing.mean_busy = MeanBusy::default();
             existing.own_load = Load::default();
             self.flows.retain(|_, flow| flow.endpoint != key);
--- a/crates/placement/src/selection.rs
+++ b/crates/placement/src/selection.rs
@@ -80,15 +80,6 @@
     requests / (f64::from(endpoint.slots.max(1)) * speed) + hop
 }
 
-/// The endpoint selected for a flow.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Choice<K> {
-    /// Its key.
-    pub key: K,
-    /// Expected response time of the flow's next request, in seconds; 0 if nothing is known.
-    pub response_time: f64,
-}
-
 /// Selects the endpoint with the least cost from a random sample of the best tier.
 ///
 /// Entries learn of each other's flows with a delay, so an endpoint that looks idle to all of them
@@ -98,7 +89,7 @@
     now: Duration,
     candidates: impl Iterator<Item = (K, &'a Endpoint)>,
     random: &mut impl Rng,
-) -> Option<Choice<K>> {
+) -> Option<K> {
     let mut usable: Vec<_> = candidates
         .filter_map(|(key, endpoint)| Some((tier(now, endpoint)?, key, endpoint)))
         .collect();
@@ -123,15 +114,8 @@
             .take(SAMPLE_SIZE)
     });
     let sample = sample.into_iter().flatten();
-    let costs =
-        sample.map(|(_, key, endpoint)| (cost(now, endpoint, mean_response_time), *key, *endpoint));
-    let (_, key, endpoint) = costs.min_by(|left, right| left.0.total_cmp(&right.0))?;
-    let work_times = usable.iter().filter_map(|(_, _, other)| other.work_time);
-    let work_time = endpoint.work_time.or_else(|| work_times.reduce(f64::min));
-    let response_time = match best {
-        Tier::Healthy => work_time.unwrap_or(0.0) * endpoint.pressure(1.0).max(1.0),
-        // What is known of these endpoints says nothing about how long they take.
-        Tier::Suspect | Tier::Silent => 0.0,
-    };
-    Some(Choice { key, response_time })
+    let costs = sample.map(|(_, key, endpoint)| (cost(now, endpoint, mean_response_time), *key));
+    costs
+        .min_by(|(left, _), (right, _)| left.total_cmp(right))
+        .map(|(_, key)| key)
 }
