--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -55,5 +55,8 @@
     },
     shipped_policy::ShippedPolicy,
     shortest_policy::ShortestPolicy,
-    simulation::Simulation,
+    simulation::{
+        RequestKey,
+        Simulation, //
+    },
 };
