Smaller functions for feeds, followed stores and the simulation; metrics of what feeds an entry

What is sent next to a follower is a type of its own (Feed); a session of an entry returns the better store that it has reached; the loads of a pool and the packets of the simulation stand in files of their own. mimosausher_followed_push_age_ms names the stores that feed an entry and how old their last push is.

--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -21,7 +21,10 @@
     locality::Locality,
     metrics::Metrics,
     settings::Settings,
-    view::View, //
+    view::{
+        FOLLOWED_STORES,
+        View, //
+    },
 };
 
 /// Margin beyond the heartbeat interval after which a started entry has received each endpoint
@@ -42,6 +45,8 @@
     pub settings: Settings,
     pub shutdown: Rc<Shutdown>,
     pub view: RefCell<View>,
+    /// The followed store of each slot, and when its last push arrived.
+    pub pushed: [Cell<Option<(SocketAddrV4, Duration)>>; FOLLOWED_STORES],
     /// When the last packet arrived.
     pub packet_at: Cell<Duration>,
     pub random: RefCell<ChaCha8Rng>,
@@ -57,6 +62,7 @@
             clock: Clock::new(),
             decisions: Decisions::new(Metrics::new()),
             packet_at: Cell::default(),
+            pushed: Default::default(),
             random: RefCell::new(ChaCha8Rng::seed_from_u64(rand::random())),
             seeds: RefCell::new(settings.seed_addresses()),
             shutdown: Rc::default(),
@@ -65,6 +71,13 @@
         }
     }
 
+    /// Records a push of the store that a slot follows, or that it follows none.
+    pub fn record_push(&self, slot: usize, store: Option<SocketAddrV4>) {
+        if let Some(pushed) = self.pushed.get(slot) {
+            pushed.set(store.map(|store| (store, self.clock.now())));
+        }
+    }
+
     /// Whether the entry is ready for packets of routers.
     pub fn ready(&self) -> bool {
         !self.shutdown.begun() && self.view.borrow().ready()
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -75,23 +75,15 @@
     }
 }
 
-/// How a session with a store ends.
-enum SessionEnd {
-    /// The connection failed or the store has no quorum.
-    Lost(io::Error),
-    /// A connection to a store that suits the slot better is established.
-    Moved(SocketAddrV4, TcpStream),
-}
-
 async fn follow<A: Adapter>(entry: Rc<Entry>, stores: Rc<RefCell<StoreChoice>>, slot: usize) {
     let mut backoff = Backoff::quick();
     let mut staleness = Staleness::default();
-    let mut connected = None;
+    let mut moved = None;
     if slot != LOAD_SLOT {
         wait_for_first_push(&entry).await;
     }
     loop {
-        let attempt = match connected.take() {
+        let attempt = match moved.take() {
             Some(connection) => Ok(connection),
             None => match connect_for_slot(&entry, &stores, slot, backoff).await {
                 Some(attempt) => attempt,
@@ -104,24 +96,13 @@
         match attempt {
             Ok((address, stream)) if stores.borrow_mut().reserve(slot, address) => {
                 backoff.succeed();
-                stores.borrow_mut().record_success(address);
                 let session = Session {
                     address,
                     entry: &entry,
                     slot,
                     stores: &stores,
                 };
-                match session.run::<A>(stream, &mut staleness).await {
-                    SessionEnd::Lost(error) => {
-                        log::info!(store = address.to_string(), reason = error.to_string(); "a store is followed no longer");
-                        let now = entry.clock.now();
-                        stores.borrow_mut().record_failure(now, address);
-                    }
-                    SessionEnd::Moved(better, stream) => {
-                        log::info!(store = address.to_string(), better = better.to_string(); "another store suits this entry better");
-                        connected = Some((better, stream));
-                    }
-                }
+                moved = session.run::<A>(stream, &mut staleness).await;
             }
             Ok((address, _)) => {
                 log::debug!(store = address.to_string(); "the store is already followed");
@@ -131,9 +112,10 @@
             }
         }
         stores.borrow_mut().release(slot);
+        entry.record_push(slot, None);
         let now = entry.clock.now();
         entry.view.borrow_mut().disconnect(now, slot, A::tag);
-        if connected.is_none() {
+        if moved.is_none() {
             // A call of a store ends the pause.
             let listener = entry.call.listen();
             let _called = compio::time::timeout(backoff.fail(), listener).await;
@@ -216,7 +198,36 @@
 }
 
 impl Session<'_> {
-    async fn run<A: Adapter>(&self, stream: TcpStream, staleness: &mut Staleness) -> SessionEnd {
+    /// Follows the store until the connection fails, the store has no quorum, or a connection to a
+    /// store that suits the slot better is established, which is returned.
+    async fn run<A: Adapter>(
+        &self,
+        stream: TcpStream,
+        staleness: &mut Staleness,
+    ) -> Option<(SocketAddrV4, TcpStream)> {
+        self.stores.borrow_mut().record_success(self.address);
+        let following = pin!(self.follow_store::<A>(stream, staleness));
+        let moving = pin!(self.find_better_store());
+        let store = self.address.to_string();
+        match select(following, moving).await {
+            Either::Left((Err(error), _)) => {
+                log::info!(store, reason = error.to_string(); "a store is followed no longer");
+                let now = self.entry.clock.now();
+                self.stores.borrow_mut().record_failure(now, self.address);
+                None
+            }
+            Either::Right(((better, stream), _)) => {
+                log::info!(store, better = better.to_string(); "another store suits this entry better");
+                Some((better, stream))
+            }
+        }
+    }
+
+    async fn follow_store<A: Adapter>(
+        &self,
+        stream: TcpStream,
+        staleness: &mut Staleness,
+    ) -> io::Result<Infallible> {
         let (mut sender, receiver) = split_frames::<Hello, Push>(stream);
         let settings = &self.entry.settings;
         let hello = Hello::Follower {
@@ -226,19 +237,12 @@
             name: settings.name.clone(),
             version: self.entry.view.borrow().version(),
         };
-        if let Err(error) = sender.send(&hello).await {
-            return SessionEnd::Lost(error);
-        }
+        sender.send(&hello).await?;
         log::info!(store = self.address.to_string(), slot = self.slot; "a store is followed");
         let receiving = pin!(self.receive_pushes::<A>(receiver, staleness));
         let sending = pin!(self.send_reports(sender.retype()));
-        let moving = pin!(self.find_better_store());
-        match select(select(receiving, sending), moving).await {
-            Either::Left((Either::Left((ended, _)) | Either::Right((ended, _)), _)) => {
-                let Err(error) = ended;
-                SessionEnd::Lost(error)
-            }
-            Either::Right(((address, stream), _)) => SessionEnd::Moved(address, stream),
+        match select(receiving, sending).await {
+            Either::Left((result, _)) | Either::Right((result, _)) => result,
         }
     }
 
@@ -251,6 +255,7 @@
         let unknown_changes = entry.view.borrow().unknown_changes();
         loop {
             let mut push = receiver.next().await?;
+            entry.record_push(self.slot, Some(self.address));
             if !push.more && staleness.record(entry.clock.now(), push.current) {
                 return Err(io::Error::other("the store has no quorum"));
             }
--- a/crates/edge/src/internal_server.rs
+++ b/crates/edge/src/internal_server.rs
@@ -11,10 +11,7 @@
     time::Duration, //
 };
 
-use announcements::{
-    Cursor,
-    Digest, //
-};
+use announcements::Digest;
 use compio::{
     net::{
         TcpListener,
@@ -33,6 +30,7 @@
 };
 
 use crate::{
+    feed::Feed,
     follower::Follower,
     frames::{
         Receiver,
@@ -54,13 +52,6 @@
     state::StoreState,
 };
 
-/// Interval of keepalives to an entry.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Largest number of endpoint records in one frame, some ten kilobytes: a slow link carries a frame
-/// within the timeout of the connection, and a store holds one for each follower that catches up.
-const MAX_RECORDS: usize = 200;
-
 /// Pause after a failure to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -81,56 +72,58 @@
 
 async fn serve_connection(state: Rc<StoreState>, stream: TcpStream, peer: SocketAddr) {
     let (sender, mut receiver) = split_frames::<GossipAck, (Hello, Protocol)>(stream);
-    let hello = receiver.next_or_earlier::<Hello>().await;
-    let result = match hello {
-        Ok((Hello::Entry { name, version }, _)) => {
+    let result = match receiver.next_or_earlier::<Hello>().await {
+        Ok((hello, protocol)) => serve(&state, hello, protocol, sender, receiver).await,
+        Err(error) => Err(error),
+    };
+    if let Err(error) = result {
+        log::debug!("connection from {peer} closed: {error}");
+    }
+}
+
+async fn serve(
+    state: &Rc<StoreState>,
+    hello: Hello,
+    protocol: Protocol,
+    sender: Sender<GossipAck>,
+    receiver: Receiver<(Hello, Protocol)>,
+) -> io::Result<()> {
+    match hello {
+        Hello::Entry { name, version } => {
             log::info!(entry = &*name; "an entry of an earlier version follows; it gets no loads");
-            serve_earlier_entry(&state, version, sender.retype(), receiver.retype()).await
+            serve_earlier_entry(state, version, sender.retype(), receiver.retype()).await
         }
-        Ok((
-            Hello::Follower {
-                address,
-                centre,
-                digest,
-                name,
-                version,
-            },
-            _,
-        )) => {
+        Hello::Follower {
+            address,
+            centre,
+            digest,
+            name,
+            version,
+        } => {
             let key = state.loads.borrow_mut().add_follower(&name);
             let now = state.clock.now();
             state.entries.borrow_mut().add_follower(now, address);
             let follower = Follower::new(centre, Some(key))
                 .with_known(Digest::from_buckets(digest), &state.registry.borrow());
-            let result = serve_follower(
-                &state,
-                &follower,
-                version,
-                sender.retype(),
-                receiver.retype(),
-            )
-            .await;
+            let (sender, receiver) = (sender.retype(), receiver.retype());
+            let result = serve_follower(state, &follower, version, sender, receiver).await;
             state.loads.borrow_mut().remove_follower(&name, key);
             let now = state.clock.now();
             state.entries.borrow_mut().remove_follower(now, address);
             result
         }
-        Ok((Hello::Store { centre, member }, protocol)) => {
+        Hello::Store { centre, member } => {
             let key = state.loads.borrow_mut().add_store();
-            let peer = GossipSource {
+            let source = GossipSource {
                 centre,
                 key,
                 member,
                 protocol,
             };
-            let result = receive_gossip(&state, peer, sender, receiver.retype()).await;
+            let result = receive_gossip(state, source, sender, receiver.retype()).await;
             state.loads.borrow_mut().remove_store(key);
             result
         }
-        Err(error) => Err(error),
-    };
-    if let Err(error) = result {
-        log::debug!("connection from {peer} closed: {error}");
     }
 }
 
@@ -171,65 +164,20 @@
 async fn push(
     state: &StoreState,
     follower: &Follower,
-    mut version: u64,
+    version: u64,
     mut sender: Sender<Push>,
 ) -> io::Result<()> {
-    let mut cursor = Cursor::default();
-    let mut stores = Vec::new();
-    let mut located = Vec::new();
-    let mut was_current = false;
-    let mut next_keepalive = Duration::ZERO;
+    let mut feed = Feed::new(follower, version);
     loop {
         let listener = state.changed.listen();
         let now = state.clock.now();
-        let page = {
-            let registry = state.registry.borrow();
-            registry.changed_page(now, cursor, MAX_RECORDS, |known| follower.lacks(known))
-        };
-        cursor.advance(&page);
-        if page.more {
-            let part = Push {
-                more: true,
-                records: page.records,
-                states: page.states,
-                ..Push::default()
-            };
-            send_push(state, &mut sender, &part).await?;
-            continue;
-        }
-        let known: Vec<_> = state.peers.borrow().addresses().collect();
-        let locations = state.located_stores();
-        let document = state.document.borrow().clone();
-        let document = document.filter(|document| document.version > version);
-        let current = state.replica.borrow().raft().is_current(now);
-        let regained = current && !was_current;
-        let changed = !page.records.is_empty() || !page.states.is_empty();
-        if document.is_some() || changed || regained || now >= next_keepalive {
-            version = document
-                .as_ref()
-                .map_or(version, |document| document.version);
-            let last = Push {
-                current,
-                document: document.map(|document| (*document).clone()),
-                loads: follower.changed_loads(&state.loads.borrow()),
-                located: match locations == located {
-                    true => Vec::new(),
-                    false => locations.clone(),
-                },
-                more: false,
-                records: page.records,
-                states: page.states,
-                stores: match known == stores {
-                    true => Vec::new(),
-                    false => known.clone(),
-                },
-            };
-            send_push(state, &mut sender, &last).await?;
-            was_current = current;
-            (stores, located) = (known, locations);
-            next_keepalive = now + KEEPALIVE_INTERVAL;
+        if let Some(push) = feed.next(state, now) {
+            send_push(state, &mut sender, &push).await?;
+            if push.more {
+                continue;
+            }
         }
-        let remaining = next_keepalive.saturating_sub(state.clock.now());
+        let remaining = feed.next_keepalive().saturating_sub(state.clock.now());
         if compio::time::timeout(remaining, listener).await.is_ok() {
             let followers = state.loads.borrow().followers();
             compio::time::sleep(follower.batch_time(followers)).await;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,6 +20,7 @@
 mod entry;
 mod entry_file;
 mod error;
+mod feed;
 mod follow;
 mod follower;
 mod forward;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -4,6 +4,7 @@
     cell::RefCell,
     collections::BTreeMap,
     fmt,
+    net::SocketAddrV4,
     rc::Rc,
     time::Duration, //
 };
@@ -45,6 +46,16 @@
     pub part: String,
 }
 
+/// The labels of a followed store.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
+pub struct FollowedLabel {
+    /// Slot of the entry; that of slot 0 sends loads.
+    pub slot: u32,
+    /// Internal address of the store.
+    pub store: String,
+}
+
 /// All metrics of the process.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -56,6 +67,8 @@
     pub endpoints: Family<PhaseLabel, Gauge>,
     /// Flows that the entry tracks.
     pub flows: Gauge,
+    /// Time since the last push of each followed store, in milliseconds.
+    pub followed: Family<FollowedLabel, Gauge>,
     /// Whether this store leads: 1 or 0.
     pub leads: Gauge,
     /// Idle flows that were reset because their endpoint has left or is unreachable.
@@ -98,11 +111,16 @@
         let endpoints = Family::default();
         let refusals = Family::default();
         let (sent, sent_bytes) = (Family::default(), Family::default());
-        let followers = Gauge::default();
+        let (followed, followers) = (Family::default(), Gauge::default());
         registry.register("call_seconds", "Time that calls took", calls.clone());
         registry.register("copies", "Copies of opening packets", copies.clone());
         registry.register("endpoints", "Endpoints by phase", endpoints.clone());
         registry.register("flows", "Flows remembered", flows.clone());
+        registry.register(
+            "followed_push_age_ms",
+            "Time since the last push of a followed store",
+            followed.clone(),
+        );
         registry.register(
             "followers",
             "Entries that report to this store",
@@ -132,6 +150,7 @@
             copies,
             endpoints,
             flows,
+            followed,
             followers,
             leads,
             orphans,
@@ -184,6 +203,18 @@
         self.calls.observe(time.as_secs_f64());
     }
 
+    /// Replaces the followed stores, by slot, and the ages of their last pushes.
+    pub fn set_followed(&self, followed: impl Iterator<Item = Option<(SocketAddrV4, Duration)>>) {
+        self.followed.clear();
+        let followed = (0..).zip(followed);
+        for (slot, (store, age)) in followed.filter_map(|(slot, store)| Some((slot, store?))) {
+            let store = store.to_string();
+            let millis = i64::try_from(age.as_millis()).unwrap_or(i64::MAX);
+            let label = FollowedLabel { slot, store };
+            self.followed.get_or_create(&label).set(millis);
+        }
+    }
+
     /// Counts items that a store has sent.
     pub fn count_sent(&self, part: &str, count: usize) {
         if count > 0 {
--- a/crates/edge/src/run_entry.rs
+++ b/crates/edge/src/run_entry.rs
@@ -129,6 +129,12 @@
         .version
         .set(i64::try_from(view.version()).unwrap_or(i64::MAX));
     metrics.stores.set(gauge(view.followed_stores()));
+    let now = entry.clock.now();
+    let pushed = entry.pushed.iter().map(|pushed| {
+        let (store, at) = pushed.get()?;
+        Some((store, now.saturating_sub(at)))
+    });
+    metrics.set_followed(pushed);
     metrics.quorum.set(i64::from(view.current()));
     let [mut draining, mut gone, mut ready, mut silent] = [0; 4];
     for endpoint in view.pool().iter() {
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -23,6 +23,7 @@
 mod shipped_policy;
 mod shortest_policy;
 mod simulation;
+mod transport;
 
 pub use crate::{
     endpoint::{
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -10,6 +10,7 @@
 mod flow;
 mod load;
 mod pool;
+mod pool_loads;
 mod reference;
 mod request;
 mod selection;
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -23,13 +23,11 @@
     },
     load::{
         Load,
-        MeanBusy,
-        MeanLoad, //
+        MeanBusy, //
     },
     reference::Reference,
     request::Progress,
-    selection,
-    tracking, //
+    selection, //
 };
 
 /// Limit of tracked flows, which bounds the memory that a flood of opening packets can take.
@@ -66,20 +64,20 @@
 /// The endpoint pool of an entry, and the flows that it forwards.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
-    endpoints: SlotMap<EndpointKey, Endpoint>,
-    flows: HashMap<FlowKey, Flow>,
-    members: SecondaryMap<ServiceKey, Vec<EndpointKey>>,
+    pub(crate) endpoints: SlotMap<EndpointKey, Endpoint>,
+    pub(crate) flows: HashMap<FlowKey, Flow>,
+    pub(crate) members: SecondaryMap<ServiceKey, Vec<EndpointKey>>,
     names: HashMap<Box<str>, EndpointKey>,
-    references: HashMap<Reference, EndpointKey>,
+    pub(crate) references: HashMap<Reference, EndpointKey>,
     /// Endpoints with a load of this entry's own flows now or not long ago.
-    in_use: Vec<EndpointKey>,
+    pub(crate) in_use: Vec<EndpointKey>,
     /// Whether endpoints have changed since the tracked ones were chosen.
-    remote_changed: bool,
+    pub(crate) remote_changed: bool,
     services: HashMap<Box<str>, ServiceKey>,
     /// Until when observations are ignored because the process was paused.
     paused_until: Duration,
     /// Time of the last tick.
-    ticked_at: Duration,
+    pub(crate) ticked_at: Duration,
     service_names: SlotMap<ServiceKey, Box<str>>,
 }
 
@@ -132,22 +130,6 @@
         }
     }
 
-    /// Chooses the remote endpoints whose loads this entry has to know, if endpoints have changed;
-    /// returns their references in that case.
-    ///
-    /// All endpoints of the own data centre are known besides. The number of the others does not
-    /// grow with the deployment.
-    pub fn track_remote(&mut self, random: &mut impl Rng) -> Option<Vec<Reference>> {
-        if !std::mem::take(&mut self.remote_changed) {
-            return None;
-        }
-        for members in self.members.values() {
-            tracking::track_remote(&mut self.endpoints, members, random);
-        }
-        let tracked = self.endpoints.values().filter(|endpoint| endpoint.tracked);
-        Some(tracked.map(|endpoint| endpoint.reference).collect())
-    }
-
     /// Selects an endpoint for the opening packet of a flow, or for a copy of it.
     ///
     /// A copy means that the endpoint did not answer the previous packet, so another one is
@@ -224,26 +206,11 @@
         self.endpoints.values()
     }
 
-    /// Endpoints with a load of this entry's own flows, now or not long ago.
-    pub fn in_use(&self) -> impl Iterator<Item = &Endpoint> {
-        self.in_use
-            .iter()
-            .filter_map(|key| self.endpoints.get(*key))
-    }
-
     /// Number of tracked flows.
     pub fn flows(&self) -> usize {
         self.flows.len()
     }
 
-    /// Sets an endpoint's load from the flows of other entries.
-    pub fn set_external_load(&mut self, reference: Reference, load: impl Into<MeanLoad>) {
-        let key = self.references.get(&reference).copied();
-        if let Some(endpoint) = key.and_then(|key| self.endpoints.get_mut(key)) {
-            endpoint.external_load = load.into();
-        }
-    }
-
     /// Whether this process was paused recently: packets queued up meanwhile, so their timing
     /// shows nothing about endpoints.
     fn paused(&mut self, now: Duration) -> bool {
@@ -253,13 +220,6 @@
         now < self.paused_until
     }
 
-    /// Clears the loads that other entries reported.
-    pub fn clear_external_loads(&mut self) {
-        for endpoint in self.endpoints.values_mut() {
-            endpoint.external_load = MeanLoad::default();
-        }
-    }
-
     /// Removes idle flows whose endpoint has left or is unreachable, and returns them with their
     /// last acknowledgement numbers so that they can be reset: a client whose flow was reset sends
     /// its next request on another one. Flows with a pending request are kept.
@@ -342,32 +302,6 @@
         }
     }
 
-    /// Updates the average of pending requests of each endpoint.
-    fn sample_loads(&mut self, now: Duration) {
-        let since = self.ticked_at;
-        for flow in self.flows.values() {
-            let endpoint = self.endpoints.get_mut(flow.endpoint);
-            if let (Some(request), Some(endpoint)) = (flow.request, endpoint) {
-                let pending = now.saturating_sub(request.first_at.max(since));
-                endpoint.mean_busy.add(pending);
-            }
-        }
-        let interval = now.saturating_sub(since);
-        let endpoints = &mut self.endpoints;
-        self.in_use.retain(|key| {
-            let Some(endpoint) = endpoints.get_mut(*key) else {
-                return false;
-            };
-            endpoint.mean_busy.sample(interval);
-            let idle = endpoint.own_load == Load::default() && endpoint.mean_busy.is_idle();
-            if idle {
-                endpoint.mean_busy = MeanBusy::default();
-                endpoint.in_use = false;
-            }
-            !idle
-        });
-    }
-
     fn select(
         &self,
         now: Duration,
