--- a/crates/experiment/src/shortest_policy.rs
+++ b/crates/experiment/src/shortest_policy.rs
@@ -12,8 +12,8 @@
     },
 };
 
-/// Picks the endpoint with the shortest queue of all, as it is at this moment: the best that can be
-/// done for a new flow without knowing the future, by one who sees everything at once.
+/// Picks the endpoint with the shortest queue of all, as it is at this moment, without what is on its
+/// way: a reference for a new flow, by one who sees all endpoints at once.
 #[derive(Debug, Default)]
 pub struct ShortestPolicy;
 
