--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -239,8 +239,8 @@
     }
 }
 
-/// The next gossip for a store, and whether more follows. `loads` is set
-/// if a keepalive is due; only then are the known stores and a request to join included.
+/// The next gossip for a store, and whether more follows. `loads` is set if a keepalive is due; only
+/// then are the known stores and a request to join included.
 fn gossip(
     state: &StoreState,
     address: SocketAddrV4,
