--- a/crates/experiment/src/error.rs
+++ b/crates/experiment/src/error.rs
@@ -15,13 +15,13 @@
     #[error("`{text}` is not a list of positive numbers, such as 0.5,1,2")]
     Numbers {
         /// The text.
-        text: String,
+        text: Box<str>,
     },
     /// A plot cannot be drawn.
     #[error("cannot draw {}: {cause}", path.display())]
     Plot {
         /// What the library said.
-        cause: String,
+        cause: Box<str>,
         /// The file.
         path: PathBuf,
     },
@@ -40,9 +40,9 @@
     #[error("no scenario `{name}`; built in are: {known}")]
     UnknownScenario {
         /// The built-in ones.
-        known: String,
+        known: Box<str>,
         /// The name.
-        name: String,
+        name: Box<str>,
     },
     /// A value of a scenario is out of range.
     #[error("the scenario's `{field}` {expected}")]
@@ -50,7 +50,7 @@
         /// What is expected.
         expected: &'static str,
         /// The field.
-        field: String,
+        field: Box<str>,
     },
     /// A file cannot be written.
     #[error("cannot write {}: {cause}", path.display())]
--- a/crates/experiment/src/options.rs
+++ b/crates/experiment/src/options.rs
@@ -45,7 +45,7 @@
     /// [`Error::Numbers`].
     pub fn parse_loads(&self) -> Result<Vec<f64>, Error> {
         let wrong = || Error::Numbers {
-            text: self.loads.clone(),
+            text: self.loads.as_str().into(),
         };
         let loads = self.loads.split(',').map(|load| {
             let load: f64 = load.trim().parse().map_err(|_| wrong())?;
--- a/crates/experiment/src/plot.rs
+++ b/crates/experiment/src/plot.rs
@@ -34,7 +34,7 @@
 /// [`Error::Plot`].
 pub fn draw(path: &Path, title: &str, measurements: &[Measurement]) -> Result<(), Error> {
     try_draw(path, title, measurements).map_err(|cause| Error::Plot {
-        cause: cause.to_string(),
+        cause: cause.to_string().into(),
         path: path.into(),
     })
 }
--- a/crates/experiment/src/scenario.rs
+++ b/crates/experiment/src/scenario.rs
@@ -156,7 +156,7 @@
         if path.extension().is_none() {
             let known: Vec<_> = Self::built_in().collect();
             return Err(Error::UnknownScenario {
-                known: known.join(", "),
+                known: known.join(", ").into(),
                 name: name.into(),
             });
         }
