Documents carry the terms of routes and services

Cause: entries knew of a route only where its flows go and whether they repeat; what the link's order, homes and cold endpoints need (priority, objective, bulk, regions, rate) was dropped by the adapter. Change: terms beside the document, in a field of their own at the end of a push, so that entries of earlier versions ignore them; the store keeps both in one file. Nothing uses them yet.

--- a/crates/edge/src/document.rs
+++ b/crates/edge/src/document.rs
@@ -7,6 +7,8 @@
     Serialize, //
 };
 
+use crate::terms::Terms;
+
 /// A service's share of a route's new flows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -30,13 +32,16 @@
 }
 
 /// The operators' configuration document, reduced to what entries need.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct Document {
     /// The routes.
     pub routes: Box<[Route]>,
     /// Names of the services.
     pub services: Box<[Box<str>]>,
+    /// What it says of routes and services besides; sent and stored apart from the document.
+    #[serde(skip)]
+    pub terms: Terms,
     /// Version, assigned by the operators.
     pub version: u64,
 }
--- a/crates/edge/src/document_file.rs
+++ b/crates/edge/src/document_file.rs
@@ -15,7 +15,10 @@
 };
 
 /// Name of the file in the data folder.
-const FILE: &str = "document";
+const FILE: &str = "document-and-terms";
+
+/// Name of the file of earlier versions of this program, without terms.
+const EARLIER_FILE: &str = "document";
 
 /// Interval of checks for a document to write: documents may arrive in quick succession, and each
 /// write takes two syncs.
@@ -23,7 +26,12 @@
 
 /// Reads the document that was in force shortly before the process ended; none if there is no file.
 pub fn load(data: &Path) -> Option<Rc<Document>> {
-    CacheFile::new(data.into(), FILE).load().map(Rc::new)
+    let saved = CacheFile::new(data.into(), FILE).load();
+    let document = match saved {
+        Some((document, terms)) => Some(Document { terms, ..document }),
+        None => CacheFile::new(data.into(), EARLIER_FILE).load(),
+    };
+    document.map(Rc::new)
 }
 
 /// Writes each document that comes into force to disk until the process ends.
@@ -38,7 +46,8 @@
         let document = state.document.borrow().clone();
         match document {
             Some(document) if document.version > saved => {
-                if file.replace((*document).clone()).await {
+                let terms = document.terms.clone();
+                if file.replace(((*document).clone(), terms)).await {
                     saved = document.version;
                 }
             }
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -90,13 +90,14 @@
         let known = state.peers.borrow().addresses().collect();
         Some(Push {
             current,
-            document: document.map(|document| (*document).clone()),
+            document: document.as_ref().map(|document| (**document).clone()),
             loads: self.follower.changed_loads(&state.loads.borrow()),
             located: if_changed(&mut self.located, state.located_stores()),
             more: false,
             records: page.records,
             states: page.states,
             stores: if_changed(&mut self.stores, known),
+            terms: document.map(|document| document.terms.clone()),
         })
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -46,6 +46,7 @@
 mod status;
 mod store_choice;
 mod store_loads;
+mod terms;
 mod view;
 
 pub use crate::{
@@ -92,5 +93,10 @@
         FollowerKey,
         StoreLoads, //
     },
+    terms::{
+        RouteTerms,
+        ServiceTerms,
+        Terms, //
+    },
     view::View,
 };
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -16,7 +16,10 @@
 };
 use store::Member;
 
-use crate::document::Document;
+use crate::{
+    document::Document,
+    terms::Terms, //
+};
 
 /// The first frame of a connection, which identifies its sender.
 #[derive(Clone, Debug)]
@@ -123,6 +126,8 @@
     pub located: Vec<StoreLocation>,
     /// Endpoints whose state has changed and whose record the entry has.
     pub states: Vec<StateChange>,
+    /// The terms of the document, if there is one.
+    pub terms: Option<Terms>,
 }
 
 /// What an entry reports to a store that it follows; an empty report is a keepalive.
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -213,7 +213,8 @@
             .document
             .filter(|document| document.version > self.version);
         let renewed = later.is_some();
-        if let Some(document) = later {
+        if let Some(mut document) = later {
+            document.terms = push.terms.unwrap_or_default();
             self.apply_document(&document);
         }
         let mut names: Vec<_> = push
--- a/crates/edge/tests/view.rs
+++ b/crates/edge/tests/view.rs
@@ -18,6 +18,7 @@
     Push,
     Route,
     Share,
+    Terms,
     View, //
 };
 use placement::{
@@ -48,6 +49,7 @@
         }]
         .into(),
         services: services.iter().map(|name| Box::from(*name)).collect(),
+        terms: Terms::default(),
         version,
     }
 }
