The entry's link as a resource that it schedules

Cause: an entry gave its link all packets as they came. A link of 1.5 Mbit/s takes 107 ms for one body of 20 kB, so opening packets and short requests stood behind bodies in the link's own queue, their copies came in time and doubled the load, and the entry took the silence for an endpoint out of reach (2011) and reset open flows. Change: the package egress paces what leaves just below the link's rate and orders what waits: opening packets, acknowledgements and closings, then requests by their route's priority, then bodies by the flow that began first, with an eighth of the link at least. A retransmission of a packet that waits, or that has just left after a long wait, is not sent. What an endpoint did not answer while packets of its flow waited does not count against it. Switched on by the setting link; above 100 Mbit/s nothing waits.

--- a/crates/edge/src/document_file.rs
+++ b/crates/edge/src/document_file.rs
@@ -15,10 +15,7 @@
 };
 
 /// Name of the file in the data folder.
-const FILE: &str = "document-and-terms";
-
-/// Name of the file of earlier versions of this program, without terms.
-const EARLIER_FILE: &str = "document";
+const FILE: &str = "document";
 
 /// Interval of checks for a document to write: documents may arrive in quick succession, and each
 /// write takes two syncs.
@@ -26,10 +23,11 @@
 
 /// Reads the document that was in force shortly before the process ended; none if there is no file.
 pub fn load(data: &Path) -> Option<Rc<Document>> {
-    let saved = CacheFile::new(data.into(), FILE).load();
-    let document = match saved {
+    let file = CacheFile::new(data.into(), FILE);
+    let document = match file.load() {
         Some((document, terms)) => Some(Document { terms, ..document }),
-        None => CacheFile::new(data.into(), EARLIER_FILE).load(),
+        // A file of an earlier version of this program has no terms.
+        None => file.load(),
     };
     document.map(Rc::new)
 }
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -18,6 +18,7 @@
 use crate::{
     clock::Clock,
     decisions::Decisions,
+    link::Link,
     locality::Locality,
     metrics::Metrics,
     settings::Settings,
@@ -40,6 +41,8 @@
     pub called: Cell<Option<SocketAddrV4>>,
     pub clock: Clock,
     pub decisions: Decisions,
+    /// The instance's link; none if packets need not wait for it.
+    pub link: Option<Link>,
     /// Internal addresses of the seed stores.
     pub seeds: RefCell<Vec<SocketAddrV4>>,
     pub settings: Settings,
@@ -61,6 +64,7 @@
             called: Cell::default(),
             clock: Clock::new(),
             decisions: Decisions::new(Metrics::new()),
+            link: settings.link.and_then(Link::new),
             packet_at: Cell::default(),
             pushed: Default::default(),
             random: RefCell::new(ChaCha8Rng::seed_from_u64(rand::random())),
@@ -78,6 +82,13 @@
         }
     }
 
+    /// Records bytes that the process sends besides the clients' packets.
+    pub fn charge_link(&self, bytes: usize) {
+        if let Some(link) = &self.link {
+            link.charge(self.clock.now(), bytes);
+        }
+    }
+
     /// Whether the entry is ready for packets of routers.
     pub fn ready(&self) -> bool {
         !self.shutdown.begun() && self.view.borrow().ready()
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -279,7 +279,8 @@
     async fn send_reports(&self, mut sender: Sender<FollowerReport>) -> io::Result<Infallible> {
         if self.slot != LOAD_SLOT {
             loop {
-                sender.send(&FollowerReport::default()).await?;
+                let bytes = sender.send(&FollowerReport::default()).await?;
+                self.entry.charge_link(bytes);
                 compio::time::sleep(KEEPALIVE_INTERVAL).await;
             }
         }
@@ -297,7 +298,8 @@
                     loads,
                     tracked: changed.then(|| wanted.to_vec()),
                 };
-                sender.send(&report).await?;
+                let bytes = sender.send(&report).await?;
+                self.entry.charge_link(bytes);
                 (sent_at, tracked) = (now, Some(wanted));
             }
             compio::time::sleep(REPORT_INTERVAL).await;
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -13,13 +13,21 @@
 
 use codes::Code;
 use compio::runtime::fd::PollFd;
+use egress::{
+    Description,
+    Verdict, //
+};
 
 use crate::{
     adapter::{
         Adapter,
         Packet, //
     },
-    entry::Entry, //
+    entry::Entry,
+    link::{
+        Link,
+        describe, //
+    },
 };
 
 /// Largest datagram of a router, in bytes: enough for any that fits into one frame of the network.
@@ -69,14 +77,59 @@
     entry.decisions.metrics.packets.inc();
     out.clear();
     let sent = match route::<A>(entry, datagram, port, out) {
-        Some(to) => send(socket, out, to).await,
-        None => Ok(()),
+        Some(description) if leaves_now(entry, description, out) => {
+            send(socket, out, description.to).await
+        }
+        Some(_) | None => Ok(()),
     };
     if let Err(error) = sent {
         entry.decisions.record_io_error(&error);
     }
 }
 
+/// Whether a datagram leaves at once; one that does not waits for the link.
+fn leaves_now(entry: &Entry, description: Description, out: &[u8]) -> bool {
+    let Some(link) = &entry.link else {
+        return true;
+    };
+    match link.offer(entry.clock.now(), description, out) {
+        Verdict::Dropped => {
+            entry.decisions.metrics.link.dropped.inc();
+            false
+        }
+        Verdict::Queued => false,
+        Verdict::Send => true,
+    }
+}
+
+/// Sends the packets that wait for the link, until the process ends.
+pub async fn drain_link(entry: Rc<Entry>, socket: Rc<PollFd<UdpSocket>>) {
+    let Some(link) = &entry.link else {
+        return;
+    };
+    loop {
+        let listener = link.listen();
+        match link.due() {
+            Some(due) => compio::time::sleep(due.saturating_sub(entry.clock.now())).await,
+            None => listener.await,
+        }
+        send_due(&entry, link, &socket).await;
+    }
+}
+
+async fn send_due(entry: &Entry, link: &Link, socket: &PollFd<UdpSocket>) {
+    while let Some(departure) = link.next(entry.clock.now()) {
+        let now = entry.clock.now();
+        if let Some(key) = departure.key {
+            entry.view.borrow_mut().record_departure(now, key);
+        }
+        entry.decisions.metrics.link.observe_wait(departure.waited);
+        if let Err(error) = send(socket, &departure.bytes, departure.to).await {
+            entry.decisions.record_io_error(&error);
+        }
+    }
+}
+
 /// Sends a datagram, waiting for space in the send buffer if necessary.
 async fn send(socket: &PollFd<UdpSocket>, bytes: &[u8], to: SocketAddr) -> io::Result<()> {
     match socket.send_to(bytes, to) {
@@ -88,13 +141,13 @@
     }
 }
 
-/// Routes a datagram; writes the outgoing one to `out` and returns its destination.
+/// Routes a datagram; writes the outgoing one to `out` and returns its description.
 fn route<A: Adapter>(
     entry: &Entry,
     datagram: &[u8],
     port: u16,
     out: &mut Vec<u8>,
-) -> Option<SocketAddr> {
+) -> Option<Description> {
     let packet = match A::decode_packet(datagram) {
         Ok(packet) => packet,
         Err(code) => {
@@ -102,23 +155,31 @@
             return None;
         }
     };
+    let now = entry.clock.now();
+    let mut links = entry.link.iter();
+    if links.any(|link| link.repeats(now, &packet)) {
+        entry.decisions.metrics.link.repeats.inc();
+        return None;
+    }
     let mut view = entry.view.borrow_mut();
     let mut random = entry.random.borrow_mut();
-    let code = match view.route(entry.clock.now(), &packet, &mut *random) {
+    let code = match view.route(now, &packet, &mut *random) {
         Ok(key) => {
             let endpoint = view.pool().get(key)?;
             entry
                 .decisions
                 .record_placement(&packet, endpoint, view.version());
             A::encode_forward(datagram, endpoint, out);
-            return Some(endpoint.address.into());
+            let class = view.class(&packet.flow);
+            return Some(describe(&packet, class, endpoint.address.into()));
         }
         Err(code) => code,
     };
     entry
         .decisions
         .record_refusal(&packet, code, view.version());
-    reset::<A>(&packet, code, port, out)
+    let to = reset::<A>(&packet, code, port, out)?;
+    Some(Description::reset(to))
 }
 
 /// Resets a flow without a usable endpoint, so that its client does not wait for a timeout.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -27,6 +27,8 @@
 mod frames;
 mod internal_server;
 mod known_entries;
+mod link;
+mod link_metrics;
 mod links;
 mod load_delta;
 mod load_sums;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -26,6 +26,8 @@
 };
 use wire::RefusalCount;
 
+use crate::link_metrics::LinkMetrics;
+
 /// Upper bounds of the histograms' buckets, in seconds: from a sync of a fast disk to the longest
 /// wait of a client.
 const BUCKETS: [f64; 9] = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0];
@@ -71,6 +73,8 @@
     pub followed: Family<FollowedLabel, Gauge>,
     /// Whether this store leads: 1 or 0.
     pub leads: Gauge,
+    /// The entry's link.
+    pub link: LinkMetrics,
     /// Idle flows that were reset because their endpoint has left or is unreachable.
     pub orphans: Counter,
     /// Packets received.
@@ -111,6 +115,7 @@
         let endpoints = Family::default();
         let refusals = Family::default();
         let (sent, sent_bytes) = (Family::default(), Family::default());
+        let link = LinkMetrics::new(&mut registry);
         let (followed, followers) = (Family::default(), Gauge::default());
         registry.register("call_seconds", "Time that calls took", calls.clone());
         registry.register("copies", "Copies of opening packets", copies.clone());
@@ -153,6 +158,7 @@
             followed,
             followers,
             leads,
+            link,
             orphans,
             packets,
             placed,
--- a/crates/edge/src/run_entry.rs
+++ b/crates/edge/src/run_entry.rs
@@ -30,7 +30,11 @@
     entry::Entry,
     error::Error,
     follow,
-    forward::forward,
+    forward::{
+        drain_link,
+        forward, //
+    },
+    link::Link,
     metrics::gauge,
     readiness::ReadinessHandler,
     reload::reload_until_stop,
@@ -67,6 +71,7 @@
     log::info!(name = &*entry.settings.name; "an entry has started");
     let port = packets.port();
     spawn(forward::<A>(entry.clone(), socket.clone(), port)).detach();
+    spawn(drain_link(entry.clone(), socket.clone())).detach();
     spawn(process::serve(
         entry.shutdown.clone(),
         listener,
@@ -136,6 +141,8 @@
     });
     metrics.set_followed(pushed);
     metrics.quorum.set(i64::from(view.current()));
+    let waiting = entry.link.as_ref().map_or(0, Link::bytes);
+    metrics.link.bytes.set(gauge(waiting));
     let [mut draining, mut gone, mut ready, mut silent] = [0; 4];
     for endpoint in view.pool().iter() {
         match endpoint.phase {
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -51,6 +51,9 @@
     heartbeat: f64,
     /// Port for internal connections of entries and other stores to a store.
     pub inner: u16,
+    /// Rate of the instance's link, in megabits a second; entries only. Packets are sent as they
+    /// come if it is not given.
+    pub link: Option<f64>,
     /// Number of stores whose disks may be lost at once.
     pub losses: usize,
     /// Port of the metrics and of the status pages for operators; none to disable them.
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -17,6 +17,10 @@
     State, //
 };
 use codes::Code;
+use egress::{
+    Class,
+    PacketKey, //
+};
 use placement::{
     Endpoint,
     EndpointKey,
@@ -43,6 +47,7 @@
         EndpointLoad,
         Push, //
     },
+    terms::RouteTerms,
 };
 
 /// Stores that an entry follows at once: one of them may be partitioned off without detecting it.
@@ -60,6 +65,9 @@
 /// Interval at which expired records are searched for; they were kept for minutes by then.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Class of the requests of a route whose terms are not known.
+const UNKNOWN_CLASS: Class = Class::Request { priority: 0 };
+
 /// State of one followed store.
 #[derive(Clone, Debug, Default)]
 struct Source {
@@ -74,6 +82,8 @@
 /// Targets of a route.
 #[derive(Clone, Debug)]
 struct RouteTargets {
+    /// Class of its requests on a link.
+    class: Class,
     /// Whether the route's requests may be retried after any failure.
     repeatable: bool,
     targets: Box<[Target]>,
@@ -334,6 +344,17 @@
         }
     }
 
+    /// Class of the requests of a flow's route.
+    pub fn class(&self, flow: &FlowKey) -> Class {
+        let route = self.routes.get(&flow.destination);
+        route.map_or(UNKNOWN_CLASS, |route| route.class)
+    }
+
+    /// Records that a packet that waited for the link has left.
+    pub fn record_departure(&mut self, now: Duration, key: PacketKey) {
+        self.pool.record_departure(now, key.flow, key.sequence);
+    }
+
     /// Removes idle flows whose endpoint has left or is unreachable, and returns packets to reset
     /// them.
     pub fn orphans(&mut self, now: Duration) -> Vec<Packet> {
@@ -376,10 +397,13 @@
             .iter()
             .map(|name| pool.service(name))
             .collect();
+        let terms = document.terms.routes.iter().map(Some);
+        let terms = terms.chain(std::iter::repeat(None));
         self.routes = document
             .routes
             .iter()
-            .map(|route| {
+            .zip(terms)
+            .map(|(route, terms)| {
                 let shares = route.shares.iter();
                 let targets = shares.filter_map(|share| {
                     Some(Target {
@@ -388,6 +412,7 @@
                     })
                 });
                 let route_targets = RouteTargets {
+                    class: terms.map_or(UNKNOWN_CLASS, route_class),
                     repeatable: route.repeatable,
                     targets: targets.collect(),
                 };
@@ -456,3 +481,13 @@
         }
     }
 }
+
+/// Class of the requests of a route on a link.
+fn route_class(terms: &RouteTerms) -> Class {
+    match terms.bulk {
+        true => Class::Bulk,
+        false => Class::Request {
+            priority: terms.priority,
+        },
+    }
+}
--- a/crates/placement/src/flow.rs
+++ b/crates/placement/src/flow.rs
@@ -97,6 +97,16 @@
         }
     }
 
+    /// Records that a packet has left after it waited for the link.
+    pub fn record_departure(&mut self, now: Duration, sequence: u32) {
+        self.seen_at = now;
+        if let Some(request) = &mut self.request
+            && request.sequence == sequence
+        {
+            request.last_at = now;
+        }
+    }
+
     /// Ends the pending request once its response begins to arrive or the client closes the flow.
     fn end_request(
         &mut self,
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -196,6 +196,14 @@
         Ok(key)
     }
 
+    /// Records that a packet of a flow has left after it waited for the link: what its endpoint did
+    /// not answer meanwhile says nothing of that endpoint.
+    pub fn record_departure(&mut self, now: Duration, key: FlowKey, sequence: u32) {
+        if let Some(flow) = self.flows.get_mut(&key) {
+            flow.record_departure(now, sequence);
+        }
+    }
+
     /// The endpoint with a key.
     pub fn get(&self, key: EndpointKey) -> Option<&Endpoint> {
         self.endpoints.get(key)
