The link's rate by handshakes; silence counts only for packets that left at once

Ruled out: stuck keys of retransmissions, references, endpoints that don't acknowledge. Change: the rate follows handshakes over a link that was busy between them, falls without a measure and grows without a sign; what was sent up to the last long wait says nothing of an endpoint, in requests, opening packets and copies; a packet that waited counts from its departure.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -156,12 +156,17 @@
         }
     };
     let now = entry.clock.now();
-    let mut links = entry.link.iter();
-    if links.any(|link| link.repeats(now, &packet)) {
-        entry.decisions.metrics.link.repeats.inc();
-        return None;
+    if let Some(link) = &entry.link {
+        link.record_received(now, &packet);
+        if link.repeats(now, &packet) {
+            entry.decisions.metrics.link.repeats.inc();
+            return None;
+        }
     }
     let mut view = entry.view.borrow_mut();
+    if let Some(at) = entry.link.as_ref().and_then(Link::congested_at) {
+        view.record_congestion(at);
+    }
     let mut random = entry.random.borrow_mut();
     let code = match view.route(now, &packet, &mut *random) {
         Ok(key) => {
--- a/crates/edge/src/link.rs
+++ b/crates/edge/src/link.rs
@@ -57,6 +57,11 @@
         self.scheduler.borrow_mut().charge(now, bytes);
     }
 
+    /// Rate at which packets leave, in bytes a second.
+    pub fn rate(&self) -> f64 {
+        self.scheduler.borrow().bandwidth().bytes()
+    }
+
     /// When the next packet leaves; none if no packet waits.
     pub fn due(&self) -> Option<Duration> {
         self.scheduler.borrow().due()
@@ -81,6 +86,23 @@
         verdict
     }
 
+    /// Records a client's packet.
+    pub fn record_received(&self, now: Duration, packet: &Packet) {
+        if packet.kind == PacketKind::Established {
+            let key = PacketKey {
+                flow: packet.flow,
+                opening: false,
+                sequence: packet.progress.sequence,
+            };
+            self.scheduler.borrow_mut().record_established(now, key);
+        }
+    }
+
+    /// When a packet last waited so long that its client may have sent it again.
+    pub fn congested_at(&self) -> Option<Duration> {
+        self.scheduler.borrow().congested_at()
+    }
+
     /// Whether a packet repeats one that waits, or that has just left after a long wait.
     pub fn repeats(&self, now: Duration, packet: &Packet) -> bool {
         let key = packet_key(packet);
--- a/crates/edge/src/link_metrics.rs
+++ b/crates/edge/src/link_metrics.rs
@@ -1,6 +1,9 @@
 //! Metrics of an entry's link.
 
-use std::time::Duration;
+use std::{
+    sync::atomic::AtomicU64,
+    time::Duration, //
+};
 
 use prometheus_client::{
     metrics::{
@@ -22,7 +25,7 @@
     /// Packets dropped because the queue was full.
     pub dropped: Counter,
     /// Rate at which packets leave, in bytes a second.
-    pub rate: Gauge,
+    pub rate: Gauge<f64, AtomicU64>,
     /// Retransmissions of packets that waited, which were not sent.
     pub repeats: Counter,
     waits: Histogram,
--- a/crates/edge/src/run_entry.rs
+++ b/crates/edge/src/run_entry.rs
@@ -34,7 +34,6 @@
         drain_link,
         forward, //
     },
-    link::Link,
     metrics::gauge,
     readiness::ReadinessHandler,
     reload::reload_until_stop,
@@ -141,8 +140,10 @@
     });
     metrics.set_followed(pushed);
     metrics.quorum.set(i64::from(view.current()));
-    let waiting = entry.link.as_ref().map_or(0, Link::bytes);
-    metrics.link.bytes.set(gauge(waiting));
+    if let Some(link) = &entry.link {
+        metrics.link.bytes.set(gauge(link.bytes()));
+        metrics.link.rate.set(link.rate());
+    }
     let [mut draining, mut gone, mut ready, mut silent] = [0; 4];
     for endpoint in view.pool().iter() {
         match endpoint.phase {
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -350,6 +350,11 @@
         route.map_or(UNKNOWN_CLASS, |route| route.class)
     }
 
+    /// Records when packets last waited long for the link.
+    pub const fn record_congestion(&mut self, at: Duration) {
+        self.pool.record_congestion(at);
+    }
+
     /// Records that a packet that waited for the link has left.
     pub fn record_departure(&mut self, now: Duration, key: PacketKey) {
         self.pool.record_departure(now, key.flow, key.sequence);
--- a/crates/egress/src/lib.rs
+++ b/crates/egress/src/lib.rs
@@ -10,6 +10,7 @@
 mod pacer;
 mod packet;
 mod queue;
+mod rate_estimator;
 mod recent;
 mod scheduler;
 
@@ -21,6 +22,10 @@
         Description,
         PacketKey, //
     },
+    rate_estimator::{
+        RateEstimator,
+        Sample, //
+    },
     scheduler::{
         Scheduler,
         Verdict, //
--- a/crates/egress/src/pacer.rs
+++ b/crates/egress/src/pacer.rs
@@ -9,7 +9,7 @@
 const MAX_BACKLOG: Duration = Duration::from_millis(8);
 
 /// Bytes of a datagram's headers on the link.
-const HEADER_BYTES: usize = 28;
+pub(crate) const HEADER_BYTES: usize = 28;
 
 /// When the link can take the next packet.
 #[derive(Clone, Copy, Debug)]
--- a/crates/egress/src/scheduler.rs
+++ b/crates/egress/src/scheduler.rs
@@ -7,7 +7,10 @@
 use crate::{
     bandwidth::Bandwidth,
     class::Class,
-    pacer::Pacer,
+    pacer::{
+        HEADER_BYTES,
+        Pacer, //
+    },
     packet::{
         Departure,
         Description,
@@ -15,6 +18,7 @@
         Queued, //
     },
     queue::Queue,
+    rate_estimator::RateEstimator,
     recent::Recent, //
 };
 
@@ -43,6 +47,8 @@
 /// The scheduler of a link.
 #[derive(Clone, Debug)]
 pub struct Scheduler {
+    congested_at: Option<Duration>,
+    estimator: RateEstimator,
     /// Keys of the packets in the queue.
     keys: HashSet<PacketKey>,
     pacer: Pacer,
@@ -54,6 +60,8 @@
     /// Creates the scheduler of an idle link.
     pub fn new(bandwidth: Bandwidth) -> Self {
         Self {
+            congested_at: None,
+            estimator: RateEstimator::new(bandwidth),
             keys: HashSet::new(),
             pacer: Pacer::new(bandwidth),
             queue: Queue::default(),
@@ -76,14 +84,24 @@
         self.pacer.bandwidth()
     }
 
-    /// Sets the rate at which packets leave.
-    pub const fn set_bandwidth(&mut self, bandwidth: Bandwidth) {
-        self.pacer.set_bandwidth(bandwidth);
-    }
-
-    /// Records bytes that left through the link besides.
+    /// Records bytes that were given to the link.
     pub fn charge(&mut self, now: Duration, bytes: usize) {
         self.pacer.charge(now, bytes);
+        self.estimator.record_bytes(bytes + HEADER_BYTES);
+    }
+
+    /// Records a packet of an established flow, whose handshake may show that packets wait in the
+    /// link itself.
+    pub fn record_established(&mut self, now: Duration, key: PacketKey) {
+        if let Some(sample) = self.estimator.record_established(now, key) {
+            self.pacer.set_bandwidth(self.estimator.rate());
+            self.record_wait(now, sample.delay);
+        }
+    }
+
+    /// When a packet last waited so long that its client may take it for lost.
+    pub const fn congested_at(&self) -> Option<Duration> {
+        self.congested_at
     }
 
     /// Whether the same bytes wait, or have just left after a long wait: their client's timer ran
@@ -95,7 +113,7 @@
     /// Offers a packet.
     pub fn offer(&mut self, now: Duration, description: Description, bytes: &[u8]) -> Verdict {
         if self.queue.is_empty() && self.pacer.is_due(now) {
-            self.pacer.charge(now, bytes.len());
+            self.send(now, description.key, bytes.len());
             return Verdict::Send;
         }
         let limit = self.pacer.bandwidth().bytes_in(MAX_WAIT);
@@ -142,10 +160,11 @@
                     self.recent.insert(now, key);
                 }
             }
+            self.record_wait(now, waited);
             if waited > max_wait {
                 continue;
             }
-            self.pacer.charge(now, bytes.len());
+            self.send(now, description.key, bytes.len());
             return Some(Departure {
                 bytes,
                 key: description.key,
@@ -154,4 +173,20 @@
             });
         }
     }
+
+    fn record_wait(&mut self, now: Duration, waited: Duration) {
+        if waited >= LONG_WAIT {
+            self.congested_at = Some(now);
+        }
+    }
+
+    /// Records a packet that is given to the link.
+    fn send(&mut self, now: Duration, key: Option<PacketKey>, bytes: usize) {
+        self.charge(now, bytes);
+        if let Some(key) = key.filter(|key| key.opening) {
+            self.estimator.record_opening(now, key);
+        }
+        self.estimator.tick(now);
+        self.pacer.set_bandwidth(self.estimator.rate());
+    }
 }
--- a/crates/placement/src/flow.rs
+++ b/crates/placement/src/flow.rs
@@ -25,6 +25,17 @@
     pub destination: SocketAddrV4,
 }
 
+/// The times that matter to a packet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Times {
+    /// When packets last waited long for the entry's link.
+    pub congested: Option<Duration>,
+    /// When the packet came.
+    pub now: Duration,
+    /// When loads were last sampled.
+    pub sampled: Duration,
+}
+
 /// An entry's state for a flow that it forwards. Packets are forwarded correctly without it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Flow {
@@ -64,22 +75,17 @@
         self
     }
 
-    /// Updates the flow and its endpoint, whose load was sampled at `sampled_at`, from a packet;
-    /// returns whether the endpoint is unreachable.
-    pub fn record(
-        &mut self,
-        now: Duration,
-        sampled_at: Duration,
-        endpoint: &mut Endpoint,
-        progress: Progress,
-    ) -> bool {
+    /// Updates the flow and its endpoint from a packet; returns whether the endpoint is
+    /// unreachable.
+    pub fn record(&mut self, times: Times, endpoint: &mut Endpoint, progress: Progress) -> bool {
+        let now = times.now;
         self.seen_at = now;
         self.acknowledged = progress.acknowledged;
         if !self.established {
             self.established = true;
             endpoint.record_answer(now);
         }
-        self.end_request(now, sampled_at, endpoint, progress);
+        self.end_request(times, endpoint, progress);
         if progress.closing && !self.closed {
             self.closed = true;
             endpoint.own_load.flows = endpoint.own_load.flows.saturating_sub(1);
@@ -87,7 +93,9 @@
         match &mut self.request {
             _ if progress.length == 0 || self.closed => false,
             Some(request) => {
-                request.record(now, progress) && endpoint.record_retransmission(now, *request)
+                let repeated = request.record(now, progress);
+                let congested = times.congested.is_some_and(|at| at >= request.first_at);
+                repeated && !congested && endpoint.record_retransmission(now, *request)
             }
             None => {
                 self.request = Some(Request::new(now, progress));
@@ -108,13 +116,8 @@
     }
 
     /// Ends the pending request once its response begins to arrive or the client closes the flow.
-    fn end_request(
-        &mut self,
-        now: Duration,
-        sampled_at: Duration,
-        endpoint: &mut Endpoint,
-        progress: Progress,
-    ) {
+    fn end_request(&mut self, times: Times, endpoint: &mut Endpoint, progress: Progress) {
+        let now = times.now;
         let Some(request) = self.request else {
             return;
         };
@@ -127,7 +130,7 @@
         }
         if answered || progress.closing {
             self.request = None;
-            let pending = now.saturating_sub(request.first_at.max(sampled_at));
+            let pending = now.saturating_sub(request.first_at.max(times.sampled));
             endpoint.mean_busy.add(pending);
             endpoint.own_load.busy = endpoint.own_load.busy.saturating_sub(1);
         }
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -19,7 +19,8 @@
     },
     flow::{
         Flow,
-        FlowKey, //
+        FlowKey,
+        Times, //
     },
     load::{
         Load,
@@ -69,6 +70,8 @@
     pub(crate) members: SecondaryMap<ServiceKey, Vec<EndpointKey>>,
     names: HashMap<Box<str>, EndpointKey>,
     pub(crate) references: HashMap<Reference, EndpointKey>,
+    /// When packets last waited long for this entry's link.
+    congested_at: Option<Duration>,
     /// Endpoints with a load of this entry's own flows now or not long ago.
     pub(crate) in_use: Vec<EndpointKey>,
     /// Whether endpoints have changed since the tracked ones were chosen.
@@ -150,13 +153,16 @@
             .get(&flow)
             .copied()
             .filter(|known| !known.established);
-        if let Some(former) = former {
+        let unanswered = former.filter(|former| !self.congested_since(former.seen_at));
+        if former.is_some() {
             self.remove_flow(&flow);
-            if let Some(endpoint) = self.endpoints.get_mut(former.endpoint) {
-                endpoint.record_failure(now);
-            }
         }
-        let excluded = former.map(|former| former.endpoint);
+        if let Some(unanswered) = unanswered
+            && let Some(endpoint) = self.endpoints.get_mut(unanswered.endpoint)
+        {
+            endpoint.record_failure(now);
+        }
+        let excluded = unanswered.map(|unanswered| unanswered.endpoint);
         let key = self
             .select(now, targets, excluded, random)
             .ok_or(Code::FlowNoEndpoint)?;
@@ -196,6 +202,17 @@
         Ok(key)
     }
 
+    /// Records when packets last waited long for this entry's link: what was sent up to then and
+    /// not answered says nothing of its endpoint.
+    pub const fn record_congestion(&mut self, at: Duration) {
+        self.congested_at = Some(at);
+    }
+
+    /// Whether packets have waited long for this entry's link since `then`.
+    fn congested_since(&self, then: Duration) -> bool {
+        self.congested_at.is_some_and(|at| at >= then)
+    }
+
     /// Records that a packet of a flow has left after it waited for the link: what its endpoint did
     /// not answer meanwhile says nothing of that endpoint.
     pub fn record_departure(&mut self, now: Duration, key: FlowKey, sequence: u32) {
@@ -260,8 +277,12 @@
     /// Records a failure for endpoints that refuse flows: they answer faster than all others, look
     /// idle, and would get every new flow until the stores miss their heartbeats.
     fn record_refusals(&mut self, now: Duration) {
+        let congested_at = self.congested_at;
         let endpoints = &mut self.endpoints;
         for flow in self.flows.values_mut() {
+            if congested_at.is_some_and(|at| at >= flow.seen_at) {
+                continue;
+            }
             let overdue = now.saturating_sub(flow.seen_at) >= ANSWER_TIMEOUT;
             if flow.established || flow.closed || flow.refused || !overdue {
                 continue;
@@ -449,7 +470,14 @@
             self.insert_flow(key, Flow::new(now, endpoint).with_established());
         }
         match (self.flows.get_mut(&key), self.endpoints.get_mut(endpoint)) {
-            (Some(flow), Some(endpoint)) => flow.record(now, self.ticked_at, endpoint, progress),
+            (Some(flow), Some(endpoint)) => {
+                let times = Times {
+                    congested: self.congested_at,
+                    now,
+                    sampled: self.ticked_at,
+                };
+                flow.record(times, endpoint, progress)
+            }
             _ => false,
         }
     }
