New flows to endpoints in their slow start keep to a rate over all entries; routes have homes

Cause: a document's rate for the slow start and a route's regions were decoded and dropped. Sixty-eight entries that each place by their own view send a cold endpoint all flows that it looks idle for. Stores passed on a slow start that begins again on a running endpoint as a renewal, without it, and an entry took each change of state for a new slow start of the full length. Change: a few entries by hash share the rate of each cold endpoint, with token buckets (docs/design/warm-up.md); stores tell the entries of each other where the document has a rate; code 2012 where only cold endpoints are left. Targets carry homes, endpoints their region; both are conditions before any endpoint is compared (docs/design/homes.md). A slow start that begins again is told as a whole record; what is left of it is counted down with renewals. Target has a constructor, which tests use.

--- a/crates/announcements/src/registry.rs
+++ b/crates/announcements/src/registry.rs
@@ -29,6 +29,10 @@
 /// Offset added to every time, so that events before the start of the process have a time as well.
 const CLOCK_OFFSET: Duration = Duration::from_secs(3600);
 
+/// Time by which the end of a slow start must be later than the known one to count as another slow
+/// start: longer than announcements commonly take.
+const WARMUP_MARGIN: Duration = Duration::from_millis(500);
+
 /// State of one endpoint as known to a store.
 #[derive(Clone, Debug)]
 pub struct KnownEndpoint {
@@ -61,6 +65,29 @@
         self.entry_change
     }
 
+    /// What is left of its slow start.
+    pub fn slow_start(&self, now: Duration) -> Duration {
+        self.slow_end().saturating_sub(now + CLOCK_OFFSET)
+    }
+
+    /// When its slow start ends, plus [`CLOCK_OFFSET`].
+    fn slow_end(&self) -> Duration {
+        self.last_announced + Duration::from_millis(u64::from(self.announcement.warmup))
+    }
+
+    /// What is left of its slow start at a time that includes [`CLOCK_OFFSET`], in milliseconds.
+    fn warmup_left(&self, now: Duration) -> u32 {
+        let left = self.slow_end().saturating_sub(now).as_millis();
+        u32::try_from(left).unwrap_or(u32::MAX)
+    }
+
+    /// Whether a record of it, announced at a time that includes [`CLOCK_OFFSET`], begins another
+    /// slow start: a running endpoint may lose what it had warmed up.
+    fn cools(&self, record: &Record, announced: Duration) -> bool {
+        let warmup = Duration::from_millis(u64::from(record.announcement.warmup));
+        !warmup.is_zero() && announced + warmup > self.slow_end() + WARMUP_MARGIN
+    }
+
     /// Its record at a time that includes [`CLOCK_OFFSET`].
     fn record(&self, now: Duration) -> Record {
         let age = now.saturating_sub(self.last_announced).as_millis();
@@ -259,7 +286,9 @@
         }
         announcement.sequence = renewal.sequence;
         let age = Duration::from_millis(u64::from(renewal.age));
-        known.last_announced = known.last_announced.max(now.saturating_sub(age));
+        let announced = known.last_announced.max(now.saturating_sub(age));
+        known.announcement.warmup = known.warmup_left(announced);
+        known.last_announced = announced;
         let silent = now.saturating_sub(known.last_announced) > self.timeout;
         if silent != known.silent {
             known.silent = silent;
@@ -304,11 +333,14 @@
         if incarnation_bits(known.announcement.incarnation) != change.incarnation {
             return None;
         }
+        let age = Duration::from_millis(u64::from(change.age));
+        let announced = (now + CLOCK_OFFSET).saturating_sub(age);
         let record = Record {
             age: change.age,
             announcement: Announcement {
                 sequence: change.sequence,
                 state: change.state,
+                warmup: known.warmup_left(announced),
                 ..known.announcement.clone()
             },
             departed: change.departed,
@@ -355,10 +387,14 @@
         record.departed |= self.superseded(&record);
         let name = record.announcement.name.clone();
         let rank = record.rank();
-        let (renewal, previous) = match self.endpoints.get(&name) {
+        let (renewal, cools, previous) = match self.endpoints.get(&name) {
             Some(known) if known.rank() >= rank => return false,
-            Some(known) => (is_renewal(known, &record), known.last_announced),
-            None => (false, Duration::ZERO),
+            Some(known) => {
+                let cools = known.cools(&record, last_announced);
+                let renewal = !cools && is_renewal(known, &record);
+                (renewal, cools, known.last_announced)
+            }
+            None => (false, false, Duration::ZERO),
         };
         self.last_change += 1;
         let last_change = self.last_change;
@@ -375,7 +411,7 @@
             silent: false,
             store_change: 0,
         });
-        if !same_base(&known.announcement, &record.announcement) {
+        if cools || !same_base(&known.announcement, &record.announcement) {
             known.base_change = last_change;
         }
         known.announcement = record.announcement;
@@ -516,7 +552,7 @@
 }
 
 /// Whether a record changes nothing but the sequence number and the remaining slow start, and so
-/// only shows that the endpoint still runs.
+/// only shows that the endpoint still runs, unless another slow start has begun.
 fn is_renewal(known: &KnownEndpoint, record: &Record) -> bool {
     let (old, new) = (&known.announcement, &record.announcement);
     let same = Announcement {
--- a/crates/announcements/tests/registry.rs
+++ b/crates/announcements/tests/registry.rs
@@ -9,7 +9,9 @@
     Lack,
     Record,
     Registry,
+    Renewal,
     State,
+    StateChange,
     TOMBSTONE_RETENTION, //
 };
 use rand::{
@@ -494,3 +496,86 @@
         }
     }
 }
+
+fn cold(name: &str, sequence: u64, warmup: u32) -> Announcement {
+    Announcement {
+        warmup,
+        ..announcement(name, 5, sequence)
+    }
+}
+
+/// A running endpoint that has lost what it had warmed up: other stores and entries are told.
+#[test]
+fn announce_slow_start_again() {
+    let (mut direct, mut other) = (Registry::new(TIMEOUT), Registry::new(TIMEOUT));
+    direct.announce(at(1), announcement("a", 5, 1));
+    let (mut store, mut entry) = (Cursor::default(), Cursor::default());
+    for record in sent_to_store(&direct, at(1), &mut store).0 {
+        other.merge(at(1), record);
+    }
+    entry.advance(&other.changed_page(at(1), entry, 9, |_| Lack::Everything));
+    direct.announce(at(2), cold("a", 2, 4_000));
+    let (records, renewals) = sent_to_store(&direct, at(2), &mut store);
+    assert_eq!((records.len(), renewals.len()), (1, 0));
+    for record in records {
+        other.merge(at(2), record);
+    }
+    let page = other.changed_page(at(2), entry, 9, |_| Lack::Everything);
+    entry.advance(&page);
+    assert_eq!(page.records[0].announcement.warmup, 4_000);
+    // It goes on: a renewal tells other stores, and entries need not be told.
+    direct.announce(at(3), cold("a", 3, 3_010));
+    let (records, renewals) = sent_to_store(&direct, at(3), &mut store);
+    assert_eq!((records.len(), renewals.len()), (0, 1));
+    assert!(other.renew(at(3), renewals[0]));
+    assert_eq!(other.get("a").unwrap().slow_start(at(4)), at(2));
+    let page = other.changed_page(at(3), entry, 9, |_| Lack::Everything);
+    assert!(page.records.is_empty() && page.states.is_empty());
+}
+
+/// An entry that connects late, and one that is told of a change of state, don't take the slow
+/// start for a longer one.
+#[test]
+fn renew_slow_start() {
+    let mut store = Registry::new(TIMEOUT);
+    store.merge(at(1), record(cold("a", 1, 4_000), false));
+    let renewal = Renewal {
+        age: 0,
+        incarnation: 5,
+        key: key_of(&store, "a"),
+        sequence: 2,
+    };
+    assert!(store.renew(at(3), renewal));
+    let known = store.get("a").unwrap();
+    assert_eq!(known.announcement.warmup, 2_000);
+    let change = StateChange {
+        age: 500,
+        departed: false,
+        incarnation: 5,
+        key: renewal.key,
+        sequence: 3,
+        silent: false,
+        state: State::Draining,
+    };
+    assert_eq!(store.change_state(at(4), change), Some("a".into()));
+    assert_eq!(store.get("a").unwrap().slow_start(at(4)), at(1));
+}
+
+fn sent_to_store(
+    registry: &Registry,
+    now: Duration,
+    cursor: &mut Cursor,
+) -> (Vec<Record>, Vec<Renewal>) {
+    let page = registry.updated_page(now, *cursor, 9);
+    cursor.advance(&page);
+    (page.records, page.renewals)
+}
+
+/// The key of an endpoint, taken from a renewal to a store that knows it.
+fn key_of(registry: &Registry, name: &str) -> u32 {
+    let mut registry = registry.clone();
+    let mut cursor = Cursor::default();
+    sent_to_store(&registry, at(1), &mut cursor);
+    registry.announce(at(2), announcement(name, 5, 99));
+    sent_to_store(&registry, at(2), &mut cursor).1[0].key
+}
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -58,6 +58,7 @@
 impl Entry {
     /// Creates the state of an entry without known stores and endpoints.
     pub fn new(settings: Settings) -> Self {
+        let address = settings.advertised_address();
         let locality = Locality::new(&settings.centre).with_regions(settings.regions.clone());
         Self {
             call: Event::new(),
@@ -70,7 +71,9 @@
             random: RefCell::new(ChaCha8Rng::seed_from_u64(rand::random())),
             seeds: RefCell::new(settings.seed_addresses()),
             shutdown: Rc::default(),
-            view: RefCell::new(View::new(locality, settings.heartbeat() + LEARNING_MARGIN)),
+            view: RefCell::new(
+                View::new(locality, settings.heartbeat() + LEARNING_MARGIN).with_address(address),
+            ),
             settings,
         }
     }
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -8,6 +8,7 @@
 use announcements::Cursor;
 
 use crate::{
+    centre_entries::CentreEntries,
     follower::Follower,
     message::{
         Push,
@@ -28,6 +29,7 @@
 #[derive(Debug)]
 pub struct Feed<'a> {
     cursor: Cursor,
+    entries: Vec<CentreEntries>,
     follower: &'a Follower,
     located: Vec<StoreLocation>,
     next_keepalive: Duration,
@@ -43,6 +45,7 @@
     pub fn new(follower: &'a Follower, version: u64) -> Self {
         Self {
             cursor: Cursor::default(),
+            entries: Vec::new(),
             follower,
             located: Vec::new(),
             next_keepalive: Duration::ZERO,
@@ -91,6 +94,7 @@
         Some(Push {
             current,
             document: document.as_ref().map(|document| (**document).clone()),
+            entries: self.changed_entries(state),
             loads: self.follower.changed_loads(&state.loads.borrow()),
             located: if_changed(&mut self.located, state.located_stores()),
             more: false,
@@ -100,6 +104,18 @@
             terms: document.map(|document| document.terms.clone()),
         })
     }
+
+    /// All entries, if they have changed and share the rate of a service's endpoints.
+    fn changed_entries(&mut self, state: &StoreState) -> Option<Vec<CentreEntries>> {
+        let document = state.document.borrow();
+        let services = document.as_ref().map(|document| &document.terms.services)?;
+        if services.iter().all(|service| service.warmup_rate <= 0.0) {
+            return None;
+        }
+        let entries = state.entries.borrow().located();
+        let entries = if_changed(&mut self.entries, entries);
+        (!entries.is_empty()).then_some(entries)
+    }
 }
 
 /// The list if it differs from the last one, which it replaces; else an empty one.
--- a/crates/edge/src/follower.rs
+++ b/crates/edge/src/follower.rs
@@ -95,6 +95,8 @@
         } = &self.known;
         match store.matches(follower, &endpoint.announcement.name) {
             _ if self.key.is_none() => Lack::Record,
+            // Digests don't tell whether a slow start has begun again.
+            true if endpoint.announcement.warmup > 0 => Lack::Everything,
             true if endpoint.entry_change() <= *upto => Lack::Nothing,
             true if endpoint.base_change() <= *upto => Lack::State,
             true | false => Lack::Everything,
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -193,6 +193,7 @@
         Code::FlowEndpointGone
         | Code::FlowEndpointUnreachable
         | Code::FlowNoEndpoint
+        | Code::FlowSlowStart
         | Code::PacketAddress => {
             A::encode_reset(packet, out);
             Some(SocketAddrV4::new(*packet.flow.client.ip(), port).into())
--- a/crates/edge/src/internal_server.rs
+++ b/crates/edge/src/internal_server.rs
@@ -30,6 +30,7 @@
 };
 
 use crate::{
+    centre_entries::CentreEntries,
     feed::Feed,
     follower::Follower,
     frames::{
@@ -102,7 +103,12 @@
         } => {
             let key = state.loads.borrow_mut().add_follower(&name);
             let now = state.clock.now();
+            let located = CentreEntries {
+                centre: centre.clone(),
+                entries: vec![address],
+            };
             state.entries.borrow_mut().add_follower(now, address);
+            state.entries.borrow_mut().locate([located]);
             let follower = Follower::new(centre, Some(key))
                 .with_known(Digest::from_buckets(digest), &state.registry.borrow());
             let (sender, receiver) = (sender.retype(), receiver.retype());
@@ -262,6 +268,9 @@
     if let Some(entries) = gossip.entries {
         state.entries.borrow_mut().record(now, entries);
     }
+    if let Some(located) = gossip.located {
+        state.entries.borrow_mut().locate(located);
+    }
     for renewal in gossip.renewals {
         state.registry.borrow_mut().renew(now, renewal);
     }
--- a/crates/edge/src/known_entries.rs
+++ b/crates/edge/src/known_entries.rs
@@ -12,9 +12,13 @@
 /// Time after which an entry that follows no store is forgotten: longer than a restart takes.
 const RETENTION: Duration = Duration::from_secs(60);
 
+use crate::centre_entries::CentreEntries;
+
 /// The entries that a store knows: its own followers, and those of the other stores.
 #[derive(Debug, Default)]
 pub struct KnownEntries {
+    /// Data centres of the entries, where they are known.
+    centres: BTreeMap<SocketAddrV4, Box<str>>,
     /// Addresses of this store's followers, with the number of their connections.
     followers: BTreeMap<SocketAddrV4, u32>,
     /// When each entry was last known to follow a store.
@@ -25,6 +29,7 @@
     /// Creates the table from what was known before the start.
     pub fn new(now: Duration, entries: impl IntoIterator<Item = SocketAddrV4>) -> Self {
         Self {
+            centres: BTreeMap::new(),
             followers: BTreeMap::new(),
             seen: entries.into_iter().map(|entry| (entry, now)).collect(),
         }
@@ -59,6 +64,41 @@
         }
     }
 
+    /// Records where entries are.
+    pub fn locate(&mut self, located: impl IntoIterator<Item = CentreEntries>) {
+        for CentreEntries { centre, entries } in located {
+            for entry in entries {
+                self.centres.insert(entry, centre.clone());
+            }
+        }
+    }
+
+    /// This store's followers, by their data centres.
+    pub fn located_followers(&self) -> Vec<CentreEntries> {
+        self.by_centre(self.followers.keys())
+    }
+
+    /// All entries whose data centres are known, by these.
+    pub fn located(&self) -> Vec<CentreEntries> {
+        self.by_centre(self.seen.keys())
+    }
+
+    fn by_centre<'a>(&self, entries: impl Iterator<Item = &'a SocketAddrV4>) -> Vec<CentreEntries> {
+        let mut centres: BTreeMap<&str, Vec<SocketAddrV4>> = BTreeMap::new();
+        for entry in entries {
+            if let Some(centre) = self.centres.get(entry) {
+                centres.entry(centre).or_default().push(*entry);
+            }
+        }
+        let centres = centres.into_iter();
+        centres
+            .map(|(centre, entries)| CentreEntries {
+                centre: centre.into(),
+                entries,
+            })
+            .collect()
+    }
+
     /// All known entries.
     pub fn all(&self) -> BTreeSet<SocketAddrV4> {
         self.seen.keys().copied().collect()
@@ -71,5 +111,7 @@
         }
         self.seen
             .retain(|_, seen| now.saturating_sub(*seen) < RETENTION);
+        let seen = &self.seen;
+        self.centres.retain(|entry, _| seen.contains_key(entry));
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,7 @@
 mod beacons;
 mod cache_file;
 mod calls;
+mod centre_entries;
 mod clock;
 mod control;
 mod decisions;
@@ -50,6 +51,8 @@
 mod store_loads;
 mod terms;
 mod view;
+mod view_warmup;
+mod warmup_metrics;
 
 pub use crate::{
     adapter::{
@@ -61,6 +64,7 @@
     },
     backoff::Backoff,
     beacons::Beacons,
+    centre_entries::CentreEntries,
     document::{
         Document,
         Route,
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -157,6 +157,8 @@
         let loads = due.then(|| loads_sent.changes(state, now, address));
         let (mut gossip, more) = gossip(state, address, &mut cursor, loads);
         gossip.entries = due.then(|| entries_sent.due(state, now)).flatten();
+        let told = gossip.entries.is_some();
+        gossip.located = told.then(|| state.entries.borrow().located_followers());
         let changed = !gossip.records.is_empty() || !gossip.renewals.is_empty();
         if due || changed || !gossip.log.is_empty() {
             let bytes = sender.send(&gossip).await?;
@@ -268,6 +270,7 @@
         entries: None,
         join: (due && state.needs_join()).then(|| state.member.clone()),
         loads,
+        located: None,
         log: queue.into(),
         records: page.records,
         renewals: page.renewals,
--- a/crates/edge/src/locality.rs
+++ b/crates/edge/src/locality.rs
@@ -27,6 +27,11 @@
         self
     }
 
+    /// Region of a data centre, if it is known.
+    pub fn region(&self, centre: &str) -> Option<&str> {
+        self.regions.get(centre).map(|region| &**region)
+    }
+
     /// Distance of a data centre. One with an unknown region counts as part of the same region.
     pub fn distance(&self, centre: &str) -> Distance {
         let regions = (self.regions.get(&self.centre), self.regions.get(centre));
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -12,11 +12,13 @@
 };
 use serde::{
     Deserialize,
+    Deserializer,
     Serialize, //
 };
 use store::Member;
 
 use crate::{
+    centre_entries::CentreEntries,
     document::Document,
     terms::Terms, //
 };
@@ -128,6 +130,9 @@
     pub states: Vec<StateChange>,
     /// The terms of the document, if there is one.
     pub terms: Option<Terms>,
+    /// All entries, if they have changed and a service's endpoints have a rate in their slow start.
+    #[serde(deserialize_with = "trailing")]
+    pub entries: Option<Vec<CentreEntries>>,
 }
 
 /// What an entry reports to a store that it follows; an empty report is a keepalive.
@@ -163,6 +168,16 @@
     /// Internal addresses of the entries that follow the sender, if they are due. Not there in
     /// protocol version 0 either.
     pub entries: Option<Vec<SocketAddrV4>>,
+    /// The same entries by their data centres.
+    #[serde(deserialize_with = "trailing")]
+    pub located: Option<Vec<CentreEntries>>,
+}
+
+/// Decodes a field at the end of a message, which messages of earlier versions of this program lack.
+fn trailing<'de, D: Deserializer<'de>, T: Default + Deserialize<'de>>(
+    deserializer: D,
+) -> Result<T, D::Error> {
+    Ok(T::deserialize(deserializer).unwrap_or_default())
 }
 
 /// Gossip of a store of protocol version 0.
@@ -183,6 +198,7 @@
             entries: None,
             join: gossip.join,
             loads: gossip.loads,
+            located: None,
             log: gossip.log,
             records: gossip.records,
             renewals: Vec::new(),
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -26,7 +26,10 @@
 };
 use wire::RefusalCount;
 
-use crate::link_metrics::LinkMetrics;
+use crate::{
+    link_metrics::LinkMetrics,
+    warmup_metrics::WarmupMetrics, //
+};
 
 /// Upper bounds of the histograms' buckets, in seconds: from a sync of a fast disk to the longest
 /// wait of a client.
@@ -97,6 +100,8 @@
     pub unsent: Counter,
     /// Version of the document in force.
     pub version: Gauge,
+    /// The limit of new flows to endpoints in their slow start.
+    pub warmup: WarmupMetrics,
     /// Refusals by number of the result code, for the status page.
     code_counts: Rc<RefCell<BTreeMap<u16, u64>>>,
     registry: Rc<Registry>,
@@ -116,6 +121,7 @@
         let refusals = Family::default();
         let (sent, sent_bytes) = (Family::default(), Family::default());
         let link = LinkMetrics::new(&mut registry);
+        let warmup = WarmupMetrics::new(&mut registry);
         let (followed, followers) = (Family::default(), Gauge::default());
         registry.register("call_seconds", "Time that calls took", calls.clone());
         registry.register("copies", "Copies of opening packets", copies.clone());
@@ -171,6 +177,7 @@
             stores,
             unsent,
             version,
+            warmup,
         }
     }
 
--- a/crates/edge/src/run_entry.rs
+++ b/crates/edge/src/run_entry.rs
@@ -143,6 +143,10 @@
     metrics.quorum.set(i64::from(view.current()));
     let waiting = entry.link.as_ref().map_or(0, Link::bytes);
     metrics.link.bytes.set(gauge(waiting));
+    let pool = view.pool();
+    metrics
+        .warmup
+        .update(pool.warmup_count(), pool.limited(now));
     let [mut draining, mut gone, mut ready, mut silent] = [0; 4];
     for endpoint in view.pool().iter() {
         match endpoint.phase {
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -39,6 +39,7 @@
         Packet,
         PacketKind, //
     },
+    centre_entries::CentreEntries,
     document::Document,
     load_delta::LoadDelta,
     locality::Locality,
@@ -70,9 +71,11 @@
 
 /// State of one followed store.
 #[derive(Clone, Debug, Default)]
-struct Source {
+pub(crate) struct Source {
     /// Whether the store was up to date with a quorum when it sent its last push.
     current: bool,
+    /// The entries that it knows.
+    pub(crate) entries: Vec<CentreEntries>,
     /// Whether the store is followed now.
     followed: bool,
     /// Endpoints whose heartbeats it no longer receives.
@@ -105,13 +108,13 @@
     /// The entry's data centre, and the regions.
     locality: Locality,
     /// The endpoints and flows.
-    pool: Pool,
+    pub(crate) pool: Pool,
     /// Announcement records; prevents older records from replacing later ones.
     registry: Registry,
     /// The loads that were last reported to the store in [`LOAD_SLOT`].
     reported: LoadDelta,
     routes: HashMap<SocketAddrV4, RouteTargets>,
-    sources: [Source; FOLLOWED_STORES],
+    pub(crate) sources: [Source; FOLLOWED_STORES],
     /// References of the endpoints of other data centres whose loads this entry tracks.
     tracked: Rc<[u32]>,
     /// Changes of endpoints that this entry did not know as the store assumed.
@@ -236,6 +239,10 @@
         if let Some(source) = self.sources.get_mut(slot) {
             source.followed = true;
             source.current = push.current || (push.more && source.current);
+            source.entries = push.entries.unwrap_or(std::mem::take(&mut source.entries));
+        }
+        if push.current {
+            self.record_entries(now, slot);
         }
         for record in push.records {
             self.merge_record(now, slot, record);
@@ -268,6 +275,7 @@
             return;
         };
         source.followed = false;
+        source.entries = Vec::new();
         if slot == LOAD_SLOT {
             self.pool.clear_external_loads();
             self.reported = LoadDelta::default();
@@ -335,7 +343,9 @@
                 let route = self.routes.get(&destination).ok_or(unknown)?;
                 let targets = &route.targets;
                 match self.pool.open(now, packet.flow, targets, random) {
-                    Err(Code::FlowNoEndpoint) if now < self.learning_until => {
+                    Err(Code::FlowNoEndpoint | Code::FlowSlowStart)
+                        if now < self.learning_until =>
+                    {
                         Err(Code::EntryStarting)
                     }
                     result => result,
@@ -397,6 +407,8 @@
             .iter()
             .map(|name| pool.service(name))
             .collect();
+        let services = keys.iter().copied().zip(&document.terms.services);
+        pool.set_warmup_rates(services.map(|(key, terms)| (key, terms.warmup_rate)));
         let terms = document.terms.routes.iter().map(Some);
         let terms = terms.chain(std::iter::repeat(None));
         self.routes = document
@@ -404,12 +416,12 @@
             .iter()
             .zip(terms)
             .map(|(route, terms)| {
+                let homes = terms.into_iter().flat_map(|terms| &terms.homes);
+                let homes = pool.homes(homes.map(|region| &**region));
                 let shares = route.shares.iter();
                 let targets = shares.filter_map(|share| {
-                    Some(Target {
-                        service: *keys.get(usize::from(share.service))?,
-                        weight: share.weight,
-                    })
+                    let service = *keys.get(usize::from(share.service))?;
+                    Some(Target::new(service, share.weight).with_homes(homes))
                 });
                 let route_targets = RouteTargets {
                     class: terms.map_or(UNKNOWN_CLASS, route_class),
@@ -453,7 +465,9 @@
         };
         let announcement = &known.announcement;
         let service = self.pool.service(&announcement.service);
-        let slow_until = now + Duration::from_millis(u64::from(announcement.warmup));
+        let centre = self.pool.centre(&announcement.centre);
+        let region = self.locality.region(&announcement.centre);
+        let region = region.map(|region| self.pool.region(region));
         let endpoint = Endpoint::new(
             name,
             announcement.incarnation,
@@ -463,7 +477,9 @@
         .with_phase(phase)
         .with_slots(announcement.slots)
         .with_tag(tag(name).unwrap_or_default())
-        .with_slow_until(slow_until);
+        .with_slow_until(now + known.slow_start(now))
+        .with_centre(centre)
+        .with_region(region);
         let distance = self.locality.distance(&announcement.centre);
         self.pool.update(endpoint.with_distance(distance));
     }
--- a/crates/experiment/src/shipped_policy.rs
+++ b/crates/experiment/src/shipped_policy.rs
@@ -93,7 +93,7 @@
         }
         self.targets = keys
             .into_iter()
-            .map(|service| Target { service, weight: 1 })
+            .map(|service| Target::new(service, 1))
             .collect();
         self.pools.push(pool);
         self.reports.push(Report::new());
--- a/crates/placement/benches/capacity.rs
+++ b/crates/placement/benches/capacity.rs
@@ -74,7 +74,7 @@
         let address = SocketAddrV4::new(Ipv4Addr::from(0x0a00_0000 + number), 80);
         pool.update(Endpoint::new(&name(number), 1, address, service).with_slots(3));
     }
-    (pool, [Target { service, weight: 1 }])
+    (pool, [Target::new(service, 1)])
 }
 
 fn name(number: u32) -> String {
--- a/crates/placement/src/endpoint.rs
+++ b/crates/placement/src/endpoint.rs
@@ -6,12 +6,17 @@
 };
 
 use crate::{
+    allowance::Allowance,
     distance::Distance,
     load::{
         Load,
         MeanBusy,
         MeanLoad, //
     },
+    places::{
+        CentreKey,
+        RegionKey, //
+    },
     reference::Reference,
     request::Request, //
 };
@@ -61,6 +66,8 @@
 pub struct Endpoint {
     /// Address at which it receives packets.
     pub address: SocketAddrV4,
+    /// Its data centre, if it is known.
+    pub centre: Option<CentreKey>,
     /// Distance from the entry.
     pub distance: Distance,
     /// Load from the flows of other entries, as they report it.
@@ -73,6 +80,8 @@
     pub phase: Phase,
     /// Reference to it in packets.
     pub reference: Reference,
+    /// Its region, if it is known.
+    pub region: Option<RegionKey>,
     /// Its service.
     pub service: ServiceKey,
     /// Requests that it processes at once.
@@ -81,12 +90,16 @@
     pub slow_until: Duration,
     /// Number by which the endpoint recognises packets addressed to it.
     pub tag: u64,
+    /// New flows that this entry may open to it in its slow start.
+    pub(crate) allowance: Allowance,
     /// End of its backoff, and the number of consecutive failures.
     pub(crate) backoff: (Duration, u32),
     /// Load from this entry's own flows.
     pub(crate) own_load: Load,
     /// Whether it is among the endpoints in use, those with an own load or an average of it.
     pub(crate) in_use: bool,
+    /// Until when it counts as in its slow start though it has announced none.
+    pub(crate) presumed_until: Duration,
     /// Whether it is in another data centre and its load is known nevertheless.
     pub(crate) tracked: bool,
     /// Average of the requests pending on this entry's own flows.
@@ -105,7 +118,9 @@
     pub fn new(name: &str, incarnation: u64, address: SocketAddrV4, service: ServiceKey) -> Self {
         Self {
             address,
+            allowance: Allowance::new(),
             backoff: (Duration::ZERO, 0),
+            centre: None,
             distance: Distance::Centre,
             external_load: MeanLoad::default(),
             in_use: false,
@@ -115,7 +130,9 @@
             own_load: Load::default(),
             phase: Phase::Ready,
             answered_at: None,
+            presumed_until: Duration::ZERO,
             reference: Reference::from_name(name),
+            region: None,
             response_time: None,
             service,
             slots: 1,
@@ -156,6 +173,28 @@
         self
     }
 
+    /// Sets its data centre.
+    pub const fn with_centre(mut self, centre: CentreKey) -> Self {
+        self.centre = Some(centre);
+        self
+    }
+
+    /// Sets its region; none if it is not known.
+    pub const fn with_region(mut self, region: Option<RegionKey>) -> Self {
+        self.region = region;
+        self
+    }
+
+    /// Whether it counts as in its slow start for the limit of new flows.
+    pub fn is_cold(&self, now: Duration) -> bool {
+        now < self.slow_until.max(self.presumed_until)
+    }
+
+    /// Whether new flows may be opened to it in its phase.
+    pub const fn accepts_flows(&self) -> bool {
+        matches!(self.phase, Phase::Ready | Phase::Silent)
+    }
+
     /// Load from this entry's own flows.
     pub const fn own_load(&self) -> Load {
         self.own_load
--- a/crates/placement/src/flow.rs
+++ b/crates/placement/src/flow.rs
@@ -30,6 +30,8 @@
 pub(crate) struct Flow {
     /// The client's last acknowledgement number.
     pub acknowledged: u32,
+    /// Whether it has carried a request.
+    pub carried: bool,
     /// Whether the client has closed it.
     pub closed: bool,
     /// The endpoint that serves it.
@@ -49,6 +51,7 @@
     pub fn new(now: Duration, endpoint: EndpointKey) -> Self {
         Self {
             acknowledged: 0,
+            carried: false,
             closed: false,
             endpoint,
             established: false,
@@ -91,6 +94,9 @@
             }
             None => {
                 self.request = Some(Request::new(now, progress));
+                if std::mem::replace(&mut self.carried, true) && endpoint.is_cold(now) {
+                    endpoint.allowance.take(now);
+                }
                 endpoint.own_load.busy += 1;
                 false
             }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -5,16 +5,24 @@
 //! endpoints for new flows by load, which it estimates from the packets of clients. It has no
 //! clock, socket or thread: times are passed as arguments and count from the start of the process.
 
+mod allowance;
 mod distance;
 mod endpoint;
 mod flow;
+mod interner;
 mod load;
+mod places;
 mod pool;
 mod pool_loads;
+mod pool_selection;
+mod pool_warmup;
 mod reference;
 mod request;
 mod selection;
+mod sharers;
+mod target;
 mod tracking;
+mod warmup_count;
 
 pub use crate::{
     distance::Distance,
@@ -29,10 +37,14 @@
         Load,
         MeanLoad, //
     },
-    pool::{
-        Pool,
-        Target, //
+    places::{
+        CentreKey,
+        HomesKey,
+        RegionKey, //
     },
+    pool::Pool,
     reference::Reference,
     request::Progress,
+    target::Target,
+    warmup_count::WarmupCount,
 };
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::{
+    allowance::Allowance,
     endpoint::{
         Endpoint,
         EndpointKey,
@@ -25,9 +26,17 @@
         Load,
         MeanBusy, //
     },
+    places::{
+        CentreKey,
+        HomesKey,
+        Places,
+        RegionKey, //
+    },
     reference::Reference,
     request::Progress,
-    selection, //
+    sharers::Sharers,
+    target::Target,
+    warmup_count::WarmupCount, //
 };
 
 /// Limit of tracked flows, which bounds the memory that a flood of opening packets can take.
@@ -52,15 +61,6 @@
 /// observations of endpoints are ignored from then on. A few ticks.
 const PAUSE_TIME: Duration = Duration::from_secs(1);
 
-/// A weighted service of a route.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Target {
-    /// The service.
-    pub service: ServiceKey,
-    /// Its share of the new flows, relative to the other weights.
-    pub weight: u32,
-}
-
 /// The endpoint pool of an entry, and the flows that it forwards.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
@@ -68,17 +68,23 @@
     pub(crate) flows: HashMap<FlowKey, Flow>,
     pub(crate) members: SecondaryMap<ServiceKey, Vec<EndpointKey>>,
     names: HashMap<Box<str>, EndpointKey>,
+    pub(crate) places: Places,
     pub(crate) references: HashMap<Reference, EndpointKey>,
     /// Endpoints with a load of this entry's own flows now or not long ago.
     pub(crate) in_use: Vec<EndpointKey>,
     /// Whether endpoints have changed since the tracked ones were chosen.
     pub(crate) remote_changed: bool,
     services: HashMap<Box<str>, ServiceKey>,
+    /// The entries that share the rates of slow starts.
+    pub(crate) sharers: Sharers,
     /// Until when observations are ignored because the process was paused.
     paused_until: Duration,
     /// Time of the last tick.
     pub(crate) ticked_at: Duration,
     service_names: SlotMap<ServiceKey, Box<str>>,
+    pub(crate) warmup_count: WarmupCount,
+    /// New flows a second that an endpoint of a service bears during its slow start.
+    pub(crate) warmup_rates: SecondaryMap<ServiceKey, f32>,
 }
 
 impl Pool {
@@ -103,6 +109,21 @@
         self.service_names.get(key).map(|name| &**name)
     }
 
+    /// The key of a data centre, which is added if it is new.
+    pub fn centre(&mut self, name: &str) -> CentreKey {
+        self.places.centre(name)
+    }
+
+    /// The key of a region, which is added if it is new.
+    pub fn region(&mut self, name: &str) -> RegionKey {
+        self.places.region(name)
+    }
+
+    /// The key of the regions in which a route's requests may run; none if they may run in all.
+    pub fn homes<'a>(&mut self, regions: impl Iterator<Item = &'a str>) -> Option<HomesKey> {
+        self.places.homes(regions)
+    }
+
     /// Inserts or updates an endpoint. Its observed load and health are kept unless it has
     /// restarted.
     pub fn update(&mut self, endpoint: Endpoint) {
@@ -137,7 +158,9 @@
     ///
     /// # Errors
     ///
-    /// [`Code::FlowNoEndpoint`] if no endpoint of the services accepts new flows.
+    /// [`Code::FlowNoEndpoint`] if no endpoint of the services accepts new flows, and
+    /// [`Code::FlowSlowStart`] if some do, but the limit of their slow start leaves none to this
+    /// entry now.
     pub fn open(
         &mut self,
         now: Duration,
@@ -157,9 +180,11 @@
             }
         }
         let excluded = former.map(|former| former.endpoint);
-        let key = self
-            .select(now, targets, excluded, random)
-            .ok_or(Code::FlowNoEndpoint)?;
+        self.update_shares(now, targets);
+        let Some(key) = self.select(now, targets, excluded, random) else {
+            return Err(self.refusal(now, targets));
+        };
+        self.charge_opening(now, key);
         self.remove_flow(&flow);
         self.insert_flow(flow, Flow::new(now, key));
         Ok(key)
@@ -310,45 +335,6 @@
         }
     }
 
-    fn select(
-        &self,
-        now: Duration,
-        targets: &[Target],
-        excluded: Option<EndpointKey>,
-        random: &mut impl Rng,
-    ) -> Option<EndpointKey> {
-        let total: u32 = targets.iter().map(|target| target.weight).sum();
-        let mut draw = random.random_range(0..total.max(1));
-        let first = targets.iter().position(|target| {
-            let selected = draw < target.weight;
-            draw = draw.saturating_sub(target.weight);
-            selected
-        })?;
-        let (before, rest) = targets.split_at(first);
-        let in_order = rest.iter().chain(before);
-        let mut usable = in_order.filter(|target| target.weight > 0);
-        usable.find_map(|target| self.select_from_service(now, target.service, excluded, random))
-    }
-
-    fn select_from_service(
-        &self,
-        now: Duration,
-        service: ServiceKey,
-        excluded: Option<EndpointKey>,
-        random: &mut impl Rng,
-    ) -> Option<EndpointKey> {
-        let members = self.members.get(service)?;
-        let candidates = || {
-            let known = members
-                .iter()
-                .filter_map(|key| Some((*key, self.endpoints.get(*key)?)));
-            known.filter(|(key, endpoint)| self.references.get(&endpoint.reference) == Some(key))
-        };
-        let others = candidates().filter(|(key, _)| Some(*key) != excluded);
-        selection::select(now, others, random)
-            .or_else(|| selection::select(now, candidates(), random))
-    }
-
     fn insert(&mut self, endpoint: Endpoint) {
         let (name, reference) = (endpoint.name.clone(), endpoint.reference);
         let service = endpoint.service;
@@ -367,7 +353,9 @@
         let restarted = existing.incarnation != endpoint.incarnation;
         let former = existing.service;
         let service = endpoint.service;
+        let moved = existing.centre != endpoint.centre;
         *existing = Endpoint {
+            allowance: existing.allowance,
             backoff: existing.backoff,
             unreachable_at: existing.unreachable_at,
             answered_at: existing.answered_at,
@@ -377,9 +365,14 @@
             mean_busy: existing.mean_busy,
             tracked: existing.tracked,
             own_load: existing.own_load,
+            presumed_until: existing.presumed_until,
             ..endpoint
         };
+        if restarted || moved {
+            existing.allowance = Allowance::new();
+        }
         if restarted {
+            existing.presumed_until = Duration::ZERO;
             existing.backoff = (Duration::ZERO, 0);
             existing.unreachable_at = None;
             existing.answered_at = None;
--- a/crates/placement/tests/load.rs
+++ b/crates/placement/tests/load.rs
@@ -40,7 +40,7 @@
         for seed in 0..count {
             let mut pool = Pool::new();
             let service = pool.service("s");
-            targets = vec![Target { service, weight: 1 }];
+            targets = vec![Target::new(service, 1)];
             for number in 0..local + remote {
                 let name = format!("i-{number}");
                 let address = format!("10.0.0.{number}:80").parse().unwrap();
--- a/crates/placement/tests/pool.rs
+++ b/crates/placement/tests/pool.rs
@@ -48,7 +48,7 @@
         Self {
             pool,
             random: ChaCha8Rng::seed_from_u64(1),
-            targets: [Target { service, weight: 1 }],
+            targets: [Target::new(service, 1)],
         }
     }
 
@@ -395,7 +395,7 @@
         .pool
         .update(Endpoint::new("i-99", 1, address, service));
     let [first] = harness.targets;
-    let targets = [Target { weight: 9, ..first }, Target { service, weight: 1 }];
+    let targets = [Target { weight: 9, ..first }, Target::new(service, 1)];
     let mut counts: HashMap<Box<str>, u32> = HashMap::new();
     for port in 0..10_000 {
         let key = harness
