--- a/crates/edge/src/run_entry.rs
+++ b/crates/edge/src/run_entry.rs
@@ -144,6 +144,10 @@
         metrics.link.bytes.set(gauge(link.bytes()));
         metrics.link.rate.set(link.rate());
     }
+    let pool = view.pool();
+    metrics
+        .warmup
+        .update(pool.warmup_count(), pool.limited(now));
     let [mut draining, mut gone, mut ready, mut silent] = [0; 4];
     for endpoint in view.pool().iter() {
         match endpoint.phase {
--- a/crates/placement/tests/congestion.rs
+++ b/crates/placement/tests/congestion.rs
@@ -35,7 +35,7 @@
         Self {
             pool,
             random: ChaCha8Rng::seed_from_u64(1),
-            targets: vec![Target { service, weight: 1 }],
+            targets: vec![Target::new(service, 1)],
         }
     }
 
