--- a/crates/edge/tests/follower.rs
+++ b/crates/edge/tests/follower.rs
@@ -4,6 +4,9 @@
 
 use announcements::{
     Announcement,
+    Digest,
+    Lack,
+    Registry,
     State, //
 };
 use mimosausher_edge::{
@@ -117,3 +120,23 @@
         assert!(times.len() >= 3, "{times:?}");
     }
 }
+
+/// An entry that connects while an endpoint is in its slow start: digests say nothing of that.
+#[test]
+fn lacks_slow_start() {
+    let mut registry = Registry::new(Duration::from_secs(3));
+    registry.announce(Duration::ZERO, announcement("i-1", "a"));
+    registry.announce(
+        Duration::ZERO,
+        Announcement {
+            warmup: 2_000,
+            ..announcement("i-2", "a")
+        },
+    );
+    let digest = Digest::new(registry.iter(), |_| false);
+    let key = StoreLoads::new().add_follower("entry-1");
+    let follower = Follower::new("a".into(), Some(key)).with_known(digest, &registry);
+    let lack = |name: &str| follower.lacks(registry.get(name).unwrap());
+    assert_eq!(lack("i-1"), Lack::Nothing);
+    assert_eq!(lack("i-2"), Lack::Everything);
+}
