--- a/crates/store/src/follower.rs
+++ b/crates/store/src/follower.rs
@@ -118,7 +118,11 @@
         self.applied = position.index;
         self.commit = position.index;
         self.ledger = snapshot.ledger;
-        self.log = Log::new(position, snapshot.members);
+        // A late snapshot may reach a store that has acknowledged entries after it.
+        match self.log.term(position.index) == Some(position.term) {
+            true => self.log.compact(position),
+            false => self.log = Log::new(position, snapshot.members),
+        }
         self.save_snapshot(EncodedSnapshot {
             bytes: bytes.into(),
             position,
--- a/crates/store/tests/raft.rs
+++ b/crates/store/tests/raft.rs
@@ -9,12 +9,15 @@
     Answer,
     Body,
     Change,
+    ClusterId,
     Event,
     Index,
+    Ledger,
     Message,
     Outcome,
     Position,
     Revision,
+    Snapshot,
     StoreId,
     Term,
     Timing,
@@ -147,6 +150,56 @@
     assert_eq!(sim.nodes[2].raft.ledger().revision(), Revision(12));
 }
 
+/// A snapshot arrives after the entries that follow it, which the store has acknowledged.
+#[test]
+fn snapshot_late() {
+    let mut sim = with_leader(3, Timing::new());
+    sim.network.clear();
+    for number in 0..2 {
+        let edit = edit(&format!("e{number}"), number);
+        sim.event(0, Event::Edit(edit, Token(number)));
+    }
+    let leader = &sim.nodes[0].raft;
+    let (term, members) = (leader.term(), leader.members().clone());
+    let position = |number| Position {
+        term,
+        index: Index(number),
+    };
+    let entries = leader.log().batch(Index(3));
+    let snapshot = Snapshot {
+        ledger: Ledger::new(),
+        members,
+        position: position(3),
+    };
+    let bytes = snapshot.encode().unwrap().bytes.to_vec();
+    let append = Body::Append {
+        commit: Index(2),
+        entries,
+        previous: position(2),
+        round: 0,
+    };
+    let chunk = Body::Chunk {
+        offset: 0,
+        position: position(3),
+        total: bytes.len() as u64,
+        bytes,
+    };
+    for body in [append, chunk] {
+        let message = Message {
+            body,
+            cluster: ClusterId(7),
+            from: id(0),
+            term,
+            to: id(2),
+        };
+        sim.event(2, Event::Message(message));
+    }
+    let node = &sim.nodes[2];
+    assert_eq!(node.raft.log().base(), position(3));
+    assert_eq!(node.raft.log().last(), position(4));
+    assert_eq!(node.saved.entries.last().unwrap().position, position(4));
+}
+
 #[test]
 fn change_one_at_a_time() {
     let mut sim = with_leader(3, Timing::new());
