Operators can evacuate a data centre

An operator's order to send nothing new to a data centre got no acknowledgement: nothing knew of such orders. It is now an entry of the stores' log, acknowledged once committed. The ledger keeps the evacuated data centres with a revision; stores send them to entries with the feed and keep them in a file for the time before a quorum is back. Entries bar the endpoints from opening packets, copies and retries; open flows go on. A data centre that is not known is refused with 5017.

Each order goes through the log, also one that seems to be in force: a leader that was replaced without knowing would acknowledge what another had ended.

--- a/crates/codes/src/lib.rs
+++ b/crates/codes/src/lib.rs
@@ -125,6 +125,8 @@
     PublicationConflict = 5014, Not, "Another document is in force under the same version.";
     PublicationUnknown = 5015, May, "What became of the document is not known; send it again.";
     PublicationSuperseded = 5016, Not, "A document with a higher version is in force; this one changes nothing.";
+    CentreUnknown = 5017, Not, "There is no such data centre.";
+    EvacuationUnknown = 5018, May, "What became of the evacuation order is not known; send it again.";
     MessageMalformed = 6001, Not, "A message between instances could not be decoded.";
     InstanceUnreachable = 6002, Not, "An instance could not be reached.";
 }
--- a/crates/daemon/src/proposals.rs
+++ b/crates/daemon/src/proposals.rs
@@ -101,7 +101,7 @@
         Ok(Ok(Answer::Changed)) => ProposalReply::Changed,
         Ok(Ok(Answer::Outcome(outcome))) => ProposalReply::Outcome(replica::outcome(outcome)),
         Ok(Ok(Answer::Refused(code, advice))) => ProposalReply::Refused(code, advice),
-        Ok(Ok(Answer::Current | Answer::Published(_)) | Err(_)) | Err(_) => {
+        Ok(Ok(Answer::Current | Answer::Evacuated(_) | Answer::Published(_)) | Err(_)) | Err(_) => {
             outcome_unknown("the store did not answer in time")
         }
     }
--- a/crates/edge/src/adapter.rs
+++ b/crates/edge/src/adapter.rs
@@ -48,6 +48,13 @@
     Announce(Announcement),
     /// An endpoint leaves: its name and, if given, its incarnation.
     Depart(Box<str>, Option<u64>),
+    /// An operator starts or ends the evacuation of a data centre.
+    Evacuate {
+        /// The data centre.
+        centre: Box<str>,
+        /// Whether it is evacuated from then on.
+        evacuated: bool,
+    },
     /// An operator publishes a document.
     Publish,
     /// A read of the document in force.
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -43,7 +43,8 @@
         Call,
         Reply, //
     },
-    state::StoreState,
+    evacuations::evacuate,
+    state::StoreState, //
 };
 
 /// Largest body of a call, in bytes: a document of several thousand routes.
@@ -52,8 +53,11 @@
 /// Time limit of a call: clients switch to another store after a second.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Advice if the cluster does not answer.
+const TIMED_OUT: &str = "the group did not answer in time";
+
 /// Why a call was refused.
-type Refusal = (Code, Box<str>);
+pub type Refusal = (Code, Box<str>);
 
 /// Answers calls of endpoints and operators.
 #[derive(Debug)]
@@ -113,6 +117,7 @@
     match A::decode_call(parts, &body)? {
         Call::Announce(announcement) => announce::<A>(state, announcement).await,
         Call::Depart(name, incarnation) => depart(state, &name, incarnation).await,
+        Call::Evacuate { centre, evacuated } => evacuate(state, parts, centre, evacuated).await,
         Call::Publish => publish::<A>(state, parts, body).await,
         Call::Read => read(state).await,
     }
@@ -208,7 +213,7 @@
         .check_publication(&publication);
     let published = match known {
         Some(known) => known,
-        None => match submit_to_cluster(state, |token| Event::Publish(publication, token)).await? {
+        None => match submit_publication(state, publication).await? {
             Submission::Redirect(reply) => return Ok(reply),
             Submission::Answered(Answer::Published(published)) => published,
             Submission::Answered(_) => return Err(timed_out()),
@@ -224,8 +229,16 @@
     }
 }
 
+async fn submit_publication(
+    state: &StoreState,
+    publication: Publication,
+) -> Result<Submission, Refusal> {
+    let event = |token| Event::Publish(publication, token);
+    submit_to_cluster(state, Code::PublicationUnknown, event).await
+}
+
 async fn read(state: &StoreState) -> Result<Reply, Refusal> {
-    match submit_to_cluster(state, Event::Read).await? {
+    match submit_to_cluster(state, Code::PublicationUnknown, Event::Read).await? {
         Submission::Redirect(reply) => Ok(reply),
         Submission::Answered(Answer::Current) => {
             let replica = state.replica.borrow();
@@ -241,14 +254,21 @@
 }
 
 /// Result of a request to the cluster.
-enum Submission {
+pub enum Submission {
+    /// The leader has to be asked.
     Redirect(Reply),
+    /// Its answer.
     Answered(Answer),
 }
 
 /// Submits a request to the cluster, or redirects to the leader if this store does not lead.
-async fn submit_to_cluster(
+///
+/// # Errors
+///
+/// The code and advice of the refusal; `unknown` if the cluster does not answer in time.
+pub async fn submit_to_cluster(
     state: &StoreState,
+    unknown: Code,
     event: impl FnOnce(Token) -> Event,
 ) -> Result<Submission, Refusal> {
     if !state.replica.borrow().raft().is_leader() {
@@ -260,13 +280,10 @@
     match compio::time::timeout(CALL_TIMEOUT, receiver).await {
         Ok(Ok(Answer::Refused(code, advice))) => Err((code, advice)),
         Ok(Ok(answer)) => Ok(Submission::Answered(answer)),
-        Ok(Err(_)) | Err(_) => Err(timed_out()),
+        Ok(Err(_)) | Err(_) => Err((unknown, TIMED_OUT.into())),
     }
 }
 
 fn timed_out() -> Refusal {
-    (
-        Code::PublicationUnknown,
-        "the group did not answer in time".into(),
-    )
+    (Code::PublicationUnknown, TIMED_OUT.into())
 }
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -6,6 +6,7 @@
 };
 
 use announcements::Cursor;
+use store::Revision;
 
 use crate::{
     follower::Follower,
@@ -28,6 +29,8 @@
 #[derive(Debug)]
 pub struct Feed<'a> {
     cursor: Cursor,
+    /// Revision of the evacuated data centres that it was sent.
+    evacuated: Revision,
     follower: &'a Follower,
     located: Vec<StoreLocation>,
     next_keepalive: Duration,
@@ -43,6 +46,7 @@
     pub fn new(follower: &'a Follower, version: u64) -> Self {
         Self {
             cursor: Cursor::default(),
+            evacuated: Revision::default(),
             follower,
             located: Vec::new(),
             next_keepalive: Duration::ZERO,
@@ -76,21 +80,30 @@
         }
         let document = state.document.borrow().clone();
         let document = document.filter(|document| document.version > self.version);
+        let evacuated = {
+            let evacuated = state.evacuated.borrow();
+            (evacuated.revision > self.evacuated).then(|| evacuated.clone())
+        };
         let current = state.replica.borrow().raft().is_current(now);
         let regained = current && !self.was_current;
         let changed = !page.records.is_empty() || !page.states.is_empty();
-        if document.is_none() && !changed && !regained && now < self.next_keepalive {
+        let ordered = document.is_some() || evacuated.is_some();
+        if !ordered && !changed && !regained && now < self.next_keepalive {
             return None;
         }
         if let Some(document) = &document {
             self.version = document.version;
         }
+        if let Some(evacuated) = &evacuated {
+            self.evacuated = evacuated.revision;
+        }
         self.was_current = current;
         self.next_keepalive = now + KEEPALIVE_INTERVAL;
         let known = state.peers.borrow().addresses().collect();
         Some(Push {
             current,
             document: document.as_ref().map(|document| (**document).clone()),
+            evacuated,
             loads: self.follower.changed_loads(&state.loads.borrow()),
             located: if_changed(&mut self.located, state.located_stores()),
             more: false,
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -25,6 +25,7 @@
     adapter::Adapter,
     backoff::Backoff,
     entry::Entry,
+    evacuations::log_evacuated,
     frames::{
         Receiver,
         Sender,
@@ -265,10 +266,14 @@
             let located = std::mem::take(&mut push.located);
             self.stores.borrow_mut().locate(located);
             let mut view = entry.view.borrow_mut();
+            let evacuated = view.evacuated().revision;
             if view.apply(entry.clock.now(), self.slot, push, A::tag) {
                 let (version, confirmed) = (view.version(), view.confirmed());
                 log::info!(version, confirmed; "a later document is in force");
             }
+            if view.evacuated().revision > evacuated {
+                log_evacuated(view.evacuated());
+            }
             if view.unknown_changes() > unknown_changes {
                 return Err(io::Error::other("an unknown endpoint has changed"));
             }
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -14,7 +14,10 @@
     Deserialize,
     Serialize, //
 };
-use store::Member;
+use store::{
+    Evacuated,
+    Member, //
+};
 
 use crate::{
     document::Document,
@@ -128,6 +131,8 @@
     pub states: Vec<StateChange>,
     /// The terms of the document, if there is one.
     pub terms: Option<Terms>,
+    /// The evacuated data centres, if they have changed.
+    pub evacuated: Option<Evacuated>,
 }
 
 /// What an entry reports to a store that it follows; an empty report is a keepalive.
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -26,7 +26,10 @@
 };
 use wire::RefusalCount;
 
-use crate::link_metrics::LinkMetrics;
+use crate::{
+    evacuation_metrics::EvacuationMetrics,
+    link_metrics::LinkMetrics, //
+};
 
 /// Upper bounds of the histograms' buckets, in seconds: from a sync of a fast disk to the longest
 /// wait of a client.
@@ -67,6 +70,8 @@
     pub copies: Counter,
     /// Endpoints by phase.
     pub endpoints: Family<PhaseLabel, Gauge>,
+    /// Evacuations.
+    pub evacuations: EvacuationMetrics,
     /// Flows that the entry tracks.
     pub flows: Gauge,
     /// Time since the last push of each followed store, in milliseconds.
@@ -115,6 +120,7 @@
         let endpoints = Family::default();
         let refusals = Family::default();
         let (sent, sent_bytes) = (Family::default(), Family::default());
+        let evacuations = EvacuationMetrics::new(&mut registry);
         let link = LinkMetrics::new(&mut registry);
         let (followed, followers) = (Family::default(), Gauge::default());
         registry.register("call_seconds", "Time that calls took", calls.clone());
@@ -154,6 +160,7 @@
             calls,
             copies,
             endpoints,
+            evacuations,
             flows,
             followed,
             followers,
--- a/crates/edge/src/run_entry.rs
+++ b/crates/edge/src/run_entry.rs
@@ -141,6 +141,7 @@
     });
     metrics.set_followed(pushed);
     metrics.quorum.set(i64::from(view.current()));
+    metrics.evacuations.set(view.evacuated());
     let waiting = entry.link.as_ref().map_or(0, Link::bytes);
     metrics.link.bytes.set(gauge(waiting));
     let [mut draining, mut gone, mut ready, mut silent] = [0; 4];
--- a/crates/edge/src/run_store.rs
+++ b/crates/edge/src/run_store.rs
@@ -34,6 +34,7 @@
 use store::{
     ClusterId,
     DataFolder,
+    Evacuated,
     Event,
     Member,
     Members,
@@ -54,6 +55,8 @@
     endpoint_file,
     entry_file,
     error::Error,
+    evacuation_file,
+    evacuations::log_evacuated,
     internal_server,
     known_entries::KnownEntries,
     links,
@@ -72,7 +75,7 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Missed heartbeats after which an endpoint counts as silent.
-const MISSED_HEARTBEATS: u32 = 3;
+pub const MISSED_HEARTBEATS: u32 = 3;
 
 /// Applied log entries after which a snapshot replaces them: documents are large, so few entries
 /// fill a small disk.
@@ -103,6 +106,7 @@
     spawn(drive::<A>(state.clone(), folder)).detach();
     spawn(document_file::persist(state.clone())).detach();
     spawn(endpoint_file::persist(state.clone())).detach();
+    spawn(evacuation_file::persist(state.clone())).detach();
     spawn(entry_file::persist(state.clone())).detach();
     let beacons = Beacons::new(state.clock.now(), state.entries.borrow().all());
     spawn(calls::call_entries(state.clone(), beacons)).detach();
@@ -142,6 +146,7 @@
     metrics
         .followers
         .set(gauge(state.loads.borrow().followers()));
+    metrics.evacuations.set(&state.evacuated.borrow());
     let registry = state.registry.borrow();
     let silent = registry
         .iter()
@@ -193,6 +198,7 @@
         clock,
         copies_acked: Wake::new(),
         document: RefCell::new(document_file::load(&data)),
+        evacuated: RefCell::new(evacuation_file::load(&data)),
         entries: RefCell::new(KnownEntries::new(now, entry_file::load(&data))),
         loads: RefCell::new(loads),
         member: member(own, folder.id()),
@@ -307,6 +313,17 @@
             }
         }
     }
+
+    /// Puts the evacuated data centres of the log in force; returns whether they are later ones.
+    fn apply_evacuated(&self, evacuated: &Evacuated) -> bool {
+        let mut in_force = self.state.evacuated.borrow_mut();
+        let later = evacuated.revision > in_force.revision;
+        if later {
+            *in_force = evacuated.clone();
+            log_evacuated(evacuated);
+        }
+        later
+    }
 }
 
 impl<A: Adapter> Environment for Driver<'_, A> {
@@ -319,7 +336,8 @@
         if let Some(publication) = newer {
             self.apply_document(publication);
         }
-        if regained || newer.is_some() {
+        let ordered = self.apply_evacuated(replica.ledger().evacuated());
+        if regained || newer.is_some() || ordered {
             self.state.changed.notify(usize::MAX);
         }
     }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -16,7 +16,10 @@
 use event_listener::Event;
 use process::Shutdown;
 use replica::Replica;
-use store::Member;
+use store::{
+    Evacuated,
+    Member, //
+};
 
 use crate::{
     clock::Clock,
@@ -39,6 +42,8 @@
     pub copies_acked: Event,
     /// The document in force, decoded.
     pub document: RefCell<Option<Rc<Document>>>,
+    /// The evacuated data centres, as entries are sent them.
+    pub evacuated: RefCell<Evacuated>,
     /// The known entries.
     pub entries: RefCell<KnownEntries>,
     pub loads: RefCell<StoreLoads>,
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -33,6 +33,7 @@
     Target, //
 };
 use rand::Rng;
+use store::Evacuated;
 
 use crate::{
     adapter::{
@@ -98,6 +99,8 @@
     confirmed: bool,
     /// When the first document arrived.
     document_since: Option<Duration>,
+    /// The evacuated data centres.
+    evacuated: Evacuated,
     /// When the registry was last searched for expired records.
     expired_at: Duration,
     /// When all running endpoints must have been announced.
@@ -130,6 +133,7 @@
             complete: false,
             confirmed: false,
             document_since: None,
+            evacuated: Evacuated::default(),
             expired_at: Duration::ZERO,
             learning_until,
             locality,
@@ -176,6 +180,11 @@
         self.version
     }
 
+    /// The evacuated data centres, whose endpoints get no new flows.
+    pub const fn evacuated(&self) -> &Evacuated {
+        &self.evacuated
+    }
+
     /// Number of stores that are followed now.
     pub fn followed_stores(&self) -> usize {
         self.sources.iter().filter(|source| source.followed).count()
@@ -227,6 +236,9 @@
             document.terms = push.terms.unwrap_or_default();
             self.apply_document(&document);
         }
+        if let Some(evacuated) = push.evacuated {
+            self.apply_evacuated(evacuated);
+        }
         let mut names: Vec<_> = push
             .records
             .iter()
@@ -421,6 +433,21 @@
             .collect();
     }
 
+    /// Puts the evacuated data centres of a store in force, unless later ones are: the store may lag.
+    fn apply_evacuated(&mut self, evacuated: Evacuated) {
+        if evacuated.revision <= self.evacuated.revision {
+            return;
+        }
+        for known in self.registry.iter() {
+            let centre = &known.announcement.centre;
+            let barred = evacuated.contains(centre);
+            if barred != self.evacuated.contains(centre) {
+                self.pool.set_barred(&known.announcement.name, barred);
+            }
+        }
+        self.evacuated = evacuated;
+    }
+
     fn merge_record(&mut self, now: Duration, slot: usize, record: Record) {
         let name = record.announcement.name.clone();
         let silent = record.silent;
@@ -460,6 +487,7 @@
             announcement.address,
             service,
         )
+        .with_barred(self.evacuated.contains(&announcement.centre))
         .with_phase(phase)
         .with_slots(announcement.slots)
         .with_tag(tag(name).unwrap_or_default())
--- a/crates/edge/tests/view.rs
+++ b/crates/edge/tests/view.rs
@@ -29,6 +29,10 @@
 };
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
+use store::{
+    Evacuated,
+    Revision, //
+};
 
 const LEARNING_UNTIL: Duration = Duration::from_secs(2);
 
@@ -245,6 +249,93 @@
     assert_eq!(harness.phase("i-1"), Phase::Draining);
 }
 
+fn evacuated(centres: &[&str], revision: u64) -> Push {
+    let evacuated = Evacuated {
+        centres: centres.iter().map(|centre| Box::from(*centre)).collect(),
+        revision: Revision(revision),
+    };
+    Push {
+        evacuated: Some(evacuated),
+        ..push(None, vec![])
+    }
+}
+
+fn record_in(centre: &str, name: &str, sequence: u64) -> Record {
+    let mut record = record(name, sequence, false);
+    let number = name.trim_start_matches("i-");
+    record.announcement.address = format!("10.0.0.{number}:80").parse().unwrap();
+    record.announcement.centre = centre.into();
+    record
+}
+
+/// The endpoints to which new flows, their copies and the retries of their clients go.
+fn destinations(harness: &mut Harness, now: Duration) -> Vec<Box<str>> {
+    let mut names = Vec::new();
+    for port in 1..20 {
+        for copy in 0..3 {
+            let mut packet = open(port);
+            packet.kind = PacketKind::Open(copy);
+            names.push(harness.route(now, &packet).unwrap());
+        }
+    }
+    names.sort();
+    names.dedup();
+    names
+}
+
+/// An operator evacuates a data centre under load, and takes that back.
+#[test]
+fn evacuate_under_load() {
+    let mut harness = Harness::new();
+    let records = vec![record_in("a", "i-1", 1), record_in("b", "i-2", 1)];
+    harness.apply(0, push(Some(document(7, &["s"])), records));
+    assert_eq!(destinations(&mut harness, at(20)).len(), 2);
+    harness.apply(0, evacuated(&["a"], 1));
+    assert_eq!(destinations(&mut harness, at(30)), ["i-2".into()]);
+    let mut established = open(1);
+    established.kind = PacketKind::Established;
+    established.reference = Some(Reference::from_name("i-1"));
+    assert_eq!(harness.route(at(40), &established), Ok("i-1".into()));
+    // An endpoint restarts, and another one starts, in the evacuated data centre.
+    let records = vec![record_in("a", "i-1", 2), record_in("a", "i-3", 1)];
+    harness.apply(1, push(None, records));
+    assert_eq!(destinations(&mut harness, at(50)), ["i-2".into()]);
+    harness.apply(0, evacuated(&[], 2));
+    let names = destinations(&mut harness, at(5_000));
+    for name in ["i-1", "i-3"] {
+        assert!(names.contains(&name.into()), "{names:?}");
+    }
+}
+
+/// A store that lags has the state before the last order, whether it is followed already or not.
+#[test]
+fn evacuate_late_store() {
+    let mut harness = Harness::new();
+    let records = vec![record_in("a", "i-1", 1), record_in("b", "i-2", 1)];
+    harness.apply(0, push(Some(document(7, &["s"])), records));
+    harness.apply(0, evacuated(&["a"], 3));
+    harness.apply(1, evacuated(&[], 2));
+    harness.apply(1, evacuated(&["b"], 3));
+    assert_eq!(destinations(&mut harness, at(20)), ["i-2".into()]);
+    harness.view.disconnect(at(30), 0, |_| Some(1));
+    assert_eq!(destinations(&mut harness, at(40)), ["i-2".into()]);
+}
+
+/// Nothing else is left: the client is told at once.
+#[test]
+fn evacuate_last_centre() {
+    let mut harness = Harness::new();
+    let mut first = push(Some(document(7, &["s"])), vec![record_in("a", "i-1", 1)]);
+    first.evacuated = evacuated(&["a"], 1).evacuated;
+    harness.apply(0, first);
+    assert_eq!(
+        harness.route(LEARNING_UNTIL, &open(1)),
+        Err(Code::FlowNoEndpoint)
+    );
+    harness.apply(0, evacuated(&[], 2));
+    assert_eq!(harness.route(LEARNING_UNTIL, &open(1)), Ok("i-1".into()));
+}
+
 #[test]
 fn apply_any_bytes() {
     bolero::check!().for_each(|bytes: &[u8]| {
--- a/crates/placement/src/endpoint.rs
+++ b/crates/placement/src/endpoint.rs
@@ -61,6 +61,8 @@
 pub struct Endpoint {
     /// Address at which it receives packets.
     pub address: SocketAddrV4,
+    /// Whether operators let it have no new flows, for example while its data centre is evacuated.
+    pub barred: bool,
     /// Distance from the entry.
     pub distance: Distance,
     /// Load from the flows of other entries, as they report it.
@@ -105,6 +107,7 @@
     pub fn new(name: &str, incarnation: u64, address: SocketAddrV4, service: ServiceKey) -> Self {
         Self {
             address,
+            barred: false,
             backoff: (Duration::ZERO, 0),
             distance: Distance::Centre,
             external_load: MeanLoad::default(),
@@ -126,6 +129,12 @@
         }
     }
 
+    /// Sets whether operators let it have no new flows.
+    pub const fn with_barred(mut self, barred: bool) -> Self {
+        self.barred = barred;
+        self
+    }
+
     /// Sets the lifecycle phase.
     pub const fn with_phase(mut self, phase: Phase) -> Self {
         self.phase = phase;
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -113,6 +113,15 @@
         }
     }
 
+    /// Bars an endpoint from new flows, or admits it again. Its flows go on.
+    pub fn set_barred(&mut self, name: &str, barred: bool) {
+        let key = self.names.get(name);
+        if let Some(endpoint) = key.and_then(|key| self.endpoints.get_mut(*key)) {
+            endpoint.barred = barred;
+            self.remote_changed = true;
+        }
+    }
+
     /// Removes an endpoint whose announcement has expired.
     pub fn remove_endpoint(&mut self, name: &str) {
         let Some(key) = self.names.remove(name) else {
--- a/crates/placement/src/selection.rs
+++ b/crates/placement/src/selection.rs
@@ -56,6 +56,7 @@
 fn tier(now: Duration, endpoint: &Endpoint) -> Option<Tier> {
     match endpoint.phase {
         Phase::Draining | Phase::Gone => None,
+        Phase::Ready | Phase::Silent if endpoint.barred => None,
         Phase::Ready if endpoint.available(now) => Some(Tier::Healthy),
         Phase::Ready => Some(Tier::Suspect),
         Phase::Silent => Some(Tier::Silent),
--- a/crates/placement/src/tracking.rs
+++ b/crates/placement/src/tracking.rs
@@ -38,7 +38,9 @@
     let mut by_distance: BTreeMap<Distance, Vec<EndpointKey>> = BTreeMap::new();
     for key in members {
         match endpoints.get_mut(*key) {
-            Some(endpoint) if matches!(endpoint.phase, Phase::Ready | Phase::Silent) => {
+            Some(endpoint)
+                if matches!(endpoint.phase, Phase::Ready | Phase::Silent) && !endpoint.barred =>
+            {
                 by_distance.entry(endpoint.distance).or_default().push(*key);
             }
             Some(endpoint) => set_tracked(endpoint, false),
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -97,6 +97,7 @@
             match event {
                 Event::Change(_, token)
                 | Event::Edit(_, token)
+                | Event::Evacuate(_, token)
                 | Event::Publish(_, token)
                 | Event::Read(token) => {
                     let advice = "the store's disk takes nothing at present";
--- a/crates/store/src/entry.rs
+++ b/crates/store/src/entry.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     edit::Edit,
+    evacuation::Evacuation,
     members::Members,
     position::Position,
     publication::Publication, //
@@ -24,6 +25,8 @@
     Members(Members),
     /// Puts a document with its own version in force.
     Publish(Publication),
+    /// Starts or ends the evacuation of a data centre.
+    Evacuate(Evacuation),
 }
 
 /// An entry of the log.
@@ -45,6 +48,7 @@
         match &self.payload {
             Payload::Blank => ENTRY_BYTES,
             Payload::Edit(edit) => ENTRY_BYTES + edit.section.len() + edit.text.len(),
+            Payload::Evacuate(evacuation) => ENTRY_BYTES + evacuation.centre.len(),
             Payload::Members(members) => ENTRY_BYTES * (1 + members.0.len()),
             Payload::Publish(publication) => ENTRY_BYTES + publication.bytes.len(),
         }
--- a/crates/store/src/event.rs
+++ b/crates/store/src/event.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     edit::Edit,
+    evacuation::Evacuation,
     id::ClusterId,
     members::{
         Member,
@@ -21,6 +22,7 @@
         Record,
         Saved, //
     },
+    version::Revision,
 };
 
 /// Identifies a pending request.
@@ -43,6 +45,8 @@
     Change(Change, Token),
     /// An operator edits a section.
     Edit(Edit, Token),
+    /// An operator starts or ends the evacuation of a data centre.
+    Evacuate(Evacuation, Token),
     /// Forms a cluster of several stores; each one gets the same cluster id and members.
     FormCluster(ClusterId, Members),
     /// Forms a cluster with this store as its only member.
@@ -70,6 +74,8 @@
     Changed,
     /// The ledger holds everything that was acknowledged before the read started.
     Current,
+    /// The evacuation is started or ended; the revision of the evacuated data centres from then on.
+    Evacuated(Revision),
     /// Outcome of the edit.
     Outcome(Outcome),
     /// Result of the publication.
--- a/crates/store/src/fingerprint.rs
+++ b/crates/store/src/fingerprint.rs
@@ -41,7 +41,8 @@
             leader,
         )
             .hash(hasher);
-        (log, snapshot, ledger.revision(), ledger.audit().len()).hash(hasher);
+        (log, snapshot, ledger.revision(), ledger.evacuated()).hash(hasher);
+        ledger.audit().len().hash(hasher);
         self.in_contact(self.now).hash(hasher);
         match role {
             Role::Candidate(votes) => (0, votes).hash(hasher),
--- a/crates/store/src/ledger.rs
+++ b/crates/store/src/ledger.rs
@@ -19,6 +19,10 @@
 use crate::{
     audit::AuditRecord,
     edit::Edit,
+    evacuation::{
+        Evacuated,
+        Evacuation, //
+    },
     outcome::Outcome,
     publication::{
         Publication,
@@ -30,7 +34,7 @@
     },
 };
 
-/// Number of edits and publications whose audit records are kept, with the outcomes of the edits.
+/// Number of changes whose audit records are kept, with the outcomes of the edits.
 ///
 /// A resend of an older edit is refused, because its base version is no longer in force.
 pub const RETAINED_EDITS: usize = 20_000;
@@ -38,6 +42,9 @@
 /// Section name in the audit trail for a document that is published as a whole.
 pub const DOCUMENT: &str = "document";
 
+/// Section name in the audit trail for an evacuation.
+pub const EVACUATION: &str = "evacuation";
+
 /// Number of versions kept of each section, including the one in force.
 pub const RETAINED_VERSIONS: usize = 32;
 
@@ -53,14 +60,16 @@
 
 /// The document that results from the accepted edits, with the outcome of each edit.
 ///
-/// Deterministic: the same edits and publications, applied in the same order, give the same ledger
-/// on every store.
+/// Deterministic: the same changes, applied in the same order, give the same ledger on every store.
 #[derive(Clone, Debug, Default)]
 #[derive(Deserialize, Serialize)]
 pub struct Ledger {
     audit: VecDeque<AuditRecord>,
     #[serde(skip)]
     document: Document,
+    /// Encoded by snapshots after the other fields, which earlier versions of this program read.
+    #[serde(skip)]
+    evacuated: Evacuated,
     history: BTreeMap<Box<str>, VecDeque<StoredSection>>,
     outcomes: BTreeMap<Box<str>, Outcome>,
     published: Option<Publication>,
@@ -92,8 +101,8 @@
         outcome
     }
 
-    /// The audit trail, oldest first: the last [`RETAINED_EDITS`] edits and publications, including
-    /// refused ones.
+    /// The audit trail, oldest first: the last [`RETAINED_EDITS`] edits, publications and evacuations,
+    /// including refused ones.
     pub const fn audit(&self) -> &VecDeque<AuditRecord> {
         &self.audit
     }
@@ -103,6 +112,36 @@
         &self.document
     }
 
+    /// Starts or ends an evacuation; returns the revision of the evacuated data centres. An order that
+    /// changes nothing, such as one that is resent, is not audited.
+    pub fn evacuate(&mut self, evacuation: &Evacuation) -> Revision {
+        let base = self.evacuated.revision;
+        if self.evacuated.apply(evacuation) {
+            let verb = match evacuation.evacuated {
+                true => "start",
+                false => "end",
+            };
+            let revision = self.evacuated.revision;
+            self.push_audit(AuditRecord {
+                author: evacuation.author.clone(),
+                base: Version(base.0),
+                id: format!("{verb} {}", evacuation.centre).into(),
+                outcome: Outcome::Accepted {
+                    revision,
+                    version: Version(revision.0),
+                },
+                section: EVACUATION.into(),
+                time: evacuation.time,
+            });
+        }
+        self.evacuated.revision
+    }
+
+    /// The evacuated data centres.
+    pub const fn evacuated(&self) -> &Evacuated {
+        &self.evacuated
+    }
+
     /// The last [`RETAINED_VERSIONS`] versions of a section, oldest first; the last one is in
     /// force. A version with an empty text removed the section.
     pub fn history(&self, section: &str) -> impl DoubleEndedIterator<Item = &StoredSection> {
@@ -154,6 +193,11 @@
             .map(|(name, stored)| (&**name, stored))
     }
 
+    /// Sets the evacuated data centres, after a snapshot was decoded.
+    pub(crate) fn restore_evacuated(&mut self, evacuated: Evacuated) {
+        self.evacuated = evacuated;
+    }
+
     /// Parses the document from the sections' texts, after a snapshot was decoded.
     pub(crate) fn rebuild(&mut self) {
         let sections = self.sections().filter_map(|(name, stored)| {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -10,6 +10,7 @@
 mod election;
 mod entry;
 mod error;
+mod evacuation;
 mod event;
 mod file;
 mod fingerprint;
@@ -43,6 +44,10 @@
         Payload, //
     },
     error::Error,
+    evacuation::{
+        Evacuated,
+        Evacuation, //
+    },
     event::{
         Action,
         Answer,
@@ -61,6 +66,7 @@
     },
     ledger::{
         DOCUMENT,
+        EVACUATION,
         Ledger,
         RETAINED_EDITS,
         RETAINED_VERSIONS,
--- a/crates/store/src/proposal.rs
+++ b/crates/store/src/proposal.rs
@@ -5,6 +5,7 @@
 use crate::{
     edit::Edit,
     entry::Payload,
+    evacuation::Evacuation,
     event::{
         Answer,
         Change,
@@ -52,6 +53,12 @@
         }
     }
 
+    /// Proposes an evacuation order, also one that seems to change nothing: this store may not have
+    /// heard of a later leader yet, whose orders it lacks.
+    pub(crate) fn propose_evacuation(&mut self, evacuation: Evacuation, token: Token) {
+        self.propose(Payload::Evacuate(evacuation), token);
+    }
+
     /// Promotes a learner that has caught up to voter, unless the leader manages the voters.
     pub(crate) fn promote(&mut self, id: StoreId) {
         if self.timing.voters.is_some() {
--- a/crates/store/src/raft.rs
+++ b/crates/store/src/raft.rs
@@ -137,6 +137,7 @@
         match event {
             Event::Change(change, token) => self.propose_change(change, token),
             Event::Edit(edit, token) => self.propose_edit(edit, token),
+            Event::Evacuate(evacuation, token) => self.propose_evacuation(evacuation, token),
             Event::FormCluster(cluster, members) => self.form_cluster(cluster, members),
             Event::Init(cluster, member) => self.init(cluster, member),
             Event::Join(member) => self.join(member),
--- a/crates/store/src/replication.rs
+++ b/crates/store/src/replication.rs
@@ -168,6 +168,9 @@
             let answer = match &entry.payload {
                 Payload::Blank | Payload::Members(_) => Answer::Changed,
                 Payload::Edit(edit) => Answer::Outcome(self.ledger.apply(edit)),
+                Payload::Evacuate(evacuation) => {
+                    Answer::Evacuated(self.ledger.evacuate(evacuation))
+                }
                 Payload::Publish(publication) => {
                     Answer::Published(self.ledger.publish(publication))
                 }
--- a/crates/store/tests/cluster.rs
+++ b/crates/store/tests/cluster.rs
@@ -5,6 +5,7 @@
 use codes::Code;
 use mimosausher_store::{
     Answer,
+    Evacuation,
     Event,
     Outcome,
     Publication,
@@ -256,6 +257,8 @@
 
 /// A request to a store.
 enum Request {
+    /// Starts or ends an evacuation.
+    Evacuate,
     /// Publishes a version.
     Publish(u64),
     /// Reads, when this version is the highest acknowledged one.
@@ -277,7 +280,7 @@
     let numbers = all(&sim);
     let (mut token, mut version, mut last_id) = (0, 0, 1_000);
     let mut pending: Vec<(Token, usize, Request)> = Vec::new();
-    let mut acknowledged = 0;
+    let (mut acknowledged, mut ordered) = (0, 0);
     for round in 0..12 {
         sim.run(&numbers, 20);
         let mut wipes = 1;
@@ -304,6 +307,15 @@
                     let event = Event::Publish(publication(version, &text), Token(token));
                     pending.push((Token(token), number, Request::Publish(version)));
                     sim.event(number, event);
+                    if version % 4 == 0 {
+                        token += 1;
+                        let order = match token % 2 {
+                            0 => Evacuation::start("a"),
+                            _ => Evacuation::end("a"),
+                        };
+                        pending.push((Token(token), number, Request::Evacuate));
+                        sim.event(number, Event::Evacuate(order, Token(token)));
+                    }
                 }
                 180..190 => {
                     token += 1;
@@ -325,6 +337,9 @@
                     return true;
                 };
                 match (answer, request) {
+                    (Answer::Evacuated(revision), Request::Evacuate) => {
+                        ordered = ordered.max(revision.0);
+                    }
                     (Answer::Published(outcome), Request::Publish(version)) => {
                         if matches!(outcome, Published::Accepted | Published::Repeated) {
                             acknowledged = acknowledged.max(*version);
@@ -346,9 +361,14 @@
                 held >= acknowledged,
                 "seed {seed}: {held}, not {acknowledged}"
             );
+            let revision = sim.nodes[*number].raft.ledger().evacuated().revision;
+            assert!(
+                revision.0 >= ordered,
+                "seed {seed}: {revision}, not {ordered}"
+            );
         }
     }
-    assert!(acknowledged > 0, "seed {seed}");
+    assert!(acknowledged > 0 && ordered > 0, "seed {seed}");
 }
 
 #[test]
--- a/crates/store/tests/explore.rs
+++ b/crates/store/tests/explore.rs
@@ -9,6 +9,7 @@
 
 use mimosausher_store::{
     Body,
+    Evacuation,
     Event,
     StoreId,
     Timing,
@@ -27,14 +28,20 @@
     crashes: usize,
     depth: usize,
     edits: u64,
+    evacuations: u64,
     fingerprint: u64,
     sim: Simulation,
 }
 
 impl PartialEq for State {
     fn eq(&self, other: &Self) -> bool {
-        (self.fingerprint, self.crashes, self.edits)
-            == (other.fingerprint, other.crashes, other.edits)
+        (self.fingerprint, self.crashes, self.edits, self.evacuations)
+            == (
+                other.fingerprint,
+                other.crashes,
+                other.edits,
+                other.evacuations,
+            )
     }
 }
 
@@ -42,7 +49,7 @@
 
 impl Hash for State {
     fn hash<H: Hasher>(&self, state: &mut H) {
-        (self.fingerprint, self.crashes, self.edits).hash(state);
+        (self.fingerprint, self.crashes, self.edits, self.evacuations).hash(state);
     }
 }
 
@@ -52,6 +59,7 @@
             crashes: 0,
             depth: 0,
             edits: 0,
+            evacuations: 0,
             fingerprint: sim.fingerprint(),
             sim,
         }
@@ -66,7 +74,7 @@
     }
 
     /// All successor states: a message is delivered, a timeout expires, a store restarts with its
-    /// disk or with an empty one, a leader receives an edit, or stores request to join if the
+    /// disk or with an empty one, a leader receives an edit or an evacuation order, or stores request to join if the
     /// leader manages the members. A message that is never delivered is a lost one.
     fn successors(&self, depth: usize) -> Vec<Self> {
         let mut next = Vec::new();
@@ -98,6 +106,16 @@
                     state.sim.event(number, Event::Edit(edit, Token(9)));
                 }));
             }
+            if self.evacuations > 0 && self.sim.nodes[number].raft.is_leader() {
+                next.push(self.next(|state| {
+                    state.evacuations -= 1;
+                    let order = match state.evacuations % 2 {
+                        0 => Evacuation::end("a"),
+                        _ => Evacuation::start("a"),
+                    };
+                    state.sim.event(number, Event::Evacuate(order, Token(10)));
+                }));
+            }
         }
         next
     }
@@ -154,6 +172,18 @@
     sim
 }
 
+/// The first two stores have committed an evacuation that the third one lacks.
+fn evacuated() -> Simulation {
+    let mut sim = leaderless();
+    sim.tick(0);
+    sim.deliver_all(&[0, 1]);
+    let order = Evacuation::start("a");
+    sim.event(0, Event::Evacuate(order, Token(1)));
+    sim.deliver_all(&[0, 1]);
+    assert!(sim.answers.contains_key(&Token(1)));
+    sim
+}
+
 /// Three voters and a learner: the leader and the second store have committed an edit that the
 /// third one lacks, and the second store has just lost its disk.
 fn disk_lost() -> Simulation {
@@ -213,6 +243,26 @@
     println!("{count} states from a committed edit to depth 7");
 }
 
+/// A start and an end of an evacuation follow a committed one, at any leader.
+#[test]
+fn explore_evacuations() {
+    let mut state = State::new(evacuated());
+    state.edits = 1;
+    state.evacuations = 2;
+    let count = explore_from(state, 7).unwrap();
+    println!("{count} states from an evacuation to depth 7");
+}
+
+#[test]
+fn explore_evacuation_lost() {
+    let mut sim = evacuated();
+    sim.fault = Fault::LostEntries;
+    let mut state = State::new(sim);
+    state.edits = 1;
+    let violation = explore_from(state, 7).unwrap_err();
+    assert!(violation.starts_with("lost"), "{violation}");
+}
+
 #[test]
 fn explore_lost_entries() {
     let mut sim = committed();
--- a/crates/store/tests/simulation/mod.rs
+++ b/crates/store/tests/simulation/mod.rs
@@ -19,9 +19,11 @@
     Action,
     Answer,
     Ballot,
+    Body,
     ClusterId,
     Edit,
     Entry,
+    Evacuated,
     Event,
     Index,
     Member,
@@ -31,6 +33,7 @@
     Position,
     Raft,
     Record,
+    Revision,
     Saved,
     StoreId,
     Term,
@@ -66,6 +69,8 @@
     pub answers: BTreeMap<Token, Answer>,
     /// Committed entries, by index.
     pub committed: BTreeMap<Index, Entry>,
+    /// The evacuated data centres from the index of each committed order on.
+    pub evacuated: BTreeMap<Index, Evacuated>,
     pub fault: Fault,
     /// Leaders, by term.
     pub leaders: BTreeMap<Term, StoreId>,
@@ -123,6 +128,7 @@
         let mut sim = Self {
             answers: BTreeMap::new(),
             committed: BTreeMap::new(),
+            evacuated: BTreeMap::new(),
             fault: Fault::None,
             leaders: BTreeMap::new(),
             network: Vec::new(),
@@ -203,6 +209,14 @@
         let fault = self.fault;
         let node = &mut self.nodes[number];
         let mut written = false;
+        // A snapshot may replace entries in the event that commits them. One of the leader replaces
+        // entries that were never committed, too.
+        let installs =
+            matches!(&event, Event::Message(message) if matches!(message.body, Body::Chunk { .. }));
+        let kept = node.raft.log().entries().filter(|_| !installs);
+        let mut entries: BTreeMap<_, _> = kept
+            .map(|entry| (entry.position.index, entry.clone()))
+            .collect();
         for action in node.raft.handle(node.clock, event) {
             match action {
                 Action::Answer(token, answer) => {
@@ -210,6 +224,9 @@
                 }
                 Action::Persist(Record::Ballot(_)) if fault == Fault::UnsyncedVote => {}
                 Action::Persist(record) => {
+                    if let Record::Entry(entry) = &record {
+                        entries.insert(entry.position.index, entry.clone());
+                    }
                     node.saved.apply(record);
                     written = true;
                 }
@@ -221,7 +238,7 @@
             }
         }
         let last = node.raft.log().last();
-        self.check(number);
+        self.check(number, entries);
         if written {
             self.event(number, Event::Synced(last));
         }
@@ -297,17 +314,44 @@
         hasher.finish()
     }
 
-    fn check(&mut self, number: usize) {
-        let raft = &self.nodes[number].raft;
-        for entry in raft.log().entries() {
-            if entry.position.index > raft.commit() {
-                break;
-            }
-            let known = self.committed.entry(entry.position.index);
-            if known.or_insert_with(|| entry.clone()) != entry {
+    /// Records a committed entry; returns whether it differs from the one known at its index.
+    fn record_committed(&mut self, entry: &Entry) -> bool {
+        let index = entry.position.index;
+        if let Some(known) = self.committed.get(&index) {
+            return known != entry;
+        }
+        if let Payload::Evacuate(order) = &entry.payload {
+            let mut evacuated = self.evacuated_at(index);
+            let centre = order.centre.clone();
+            let changed = match order.evacuated {
+                true => evacuated.centres.insert(centre),
+                false => evacuated.centres.remove(&centre),
+            };
+            evacuated.revision = Revision(evacuated.revision.0 + u64::from(changed));
+            self.evacuated.insert(index, evacuated);
+        }
+        self.committed.insert(index, entry.clone());
+        false
+    }
+
+    /// The evacuated data centres by the committed entries up to an index.
+    fn evacuated_at(&self, index: Index) -> Evacuated {
+        let earlier = self.evacuated.range(..=index).next_back();
+        earlier.map_or_else(Evacuated::default, |(_, evacuated)| evacuated.clone())
+    }
+
+    fn check(&mut self, number: usize, entries: BTreeMap<Index, Entry>) {
+        let commit = self.nodes[number].raft.commit();
+        for (_, entry) in entries.into_iter().filter(|(index, _)| *index <= commit) {
+            if self.record_committed(&entry) {
                 self.violation = Some(format!("changed: {entry:?}"));
             }
         }
+        let raft = &self.nodes[number].raft;
+        let (held, expected) = (raft.ledger().evacuated(), self.evacuated_at(commit));
+        if *held != expected {
+            self.violation = Some(format!("evacuated: {held:?}, not {expected:?}"));
+        }
         if !raft.is_leader() {
             return;
         }
