--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -6,6 +6,7 @@
 };
 
 use announcements::Cursor;
+use store::Revision;
 
 use crate::{
     centre_entries::CentreEntries,
@@ -30,6 +31,8 @@
 pub struct Feed<'a> {
     cursor: Cursor,
     entries: Vec<CentreEntries>,
+    /// Revision of the evacuated data centres that it was sent.
+    evacuated: Revision,
     follower: &'a Follower,
     located: Vec<StoreLocation>,
     next_keepalive: Duration,
@@ -46,6 +49,7 @@
         Self {
             cursor: Cursor::default(),
             entries: Vec::new(),
+            evacuated: Revision::default(),
             follower,
             located: Vec::new(),
             next_keepalive: Duration::ZERO,
@@ -79,15 +83,23 @@
         }
         let document = state.document.borrow().clone();
         let document = document.filter(|document| document.version > self.version);
+        let evacuated = {
+            let evacuated = state.evacuated.borrow();
+            (evacuated.revision > self.evacuated).then(|| evacuated.clone())
+        };
         let current = state.replica.borrow().raft().is_current(now);
         let regained = current && !self.was_current;
         let changed = !page.records.is_empty() || !page.states.is_empty();
-        if document.is_none() && !changed && !regained && now < self.next_keepalive {
+        let ordered = document.is_some() || evacuated.is_some();
+        if !ordered && !changed && !regained && now < self.next_keepalive {
             return None;
         }
         if let Some(document) = &document {
             self.version = document.version;
         }
+        if let Some(evacuated) = &evacuated {
+            self.evacuated = evacuated.revision;
+        }
         self.was_current = current;
         self.next_keepalive = now + KEEPALIVE_INTERVAL;
         let known = state.peers.borrow().addresses().collect();
@@ -95,6 +107,7 @@
             current,
             document: document.as_ref().map(|document| (**document).clone()),
             entries: self.changed_entries(state),
+            evacuated,
             loads: self.follower.changed_loads(&state.loads.borrow()),
             located: if_changed(&mut self.located, state.located_stores()),
             more: false,
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -15,7 +15,10 @@
     Deserializer,
     Serialize, //
 };
-use store::Member;
+use store::{
+    Evacuated,
+    Member, //
+};
 
 use crate::{
     centre_entries::CentreEntries,
@@ -130,6 +133,9 @@
     pub states: Vec<StateChange>,
     /// The terms of the document, if there is one.
     pub terms: Option<Terms>,
+    /// The evacuated data centres, if they have changed.
+    #[serde(deserialize_with = "trailing")]
+    pub evacuated: Option<Evacuated>,
     /// All entries, if they have changed and a service's endpoints have a rate in their slow start.
     #[serde(deserialize_with = "trailing")]
     pub entries: Option<Vec<CentreEntries>>,
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -27,6 +27,7 @@
 use wire::RefusalCount;
 
 use crate::{
+    evacuation_metrics::EvacuationMetrics,
     link_metrics::LinkMetrics,
     warmup_metrics::WarmupMetrics, //
 };
@@ -70,6 +71,8 @@
     pub copies: Counter,
     /// Endpoints by phase.
     pub endpoints: Family<PhaseLabel, Gauge>,
+    /// Evacuations.
+    pub evacuations: EvacuationMetrics,
     /// Flows that the entry tracks.
     pub flows: Gauge,
     /// Time since the last push of each followed store, in milliseconds.
@@ -120,6 +123,7 @@
         let endpoints = Family::default();
         let refusals = Family::default();
         let (sent, sent_bytes) = (Family::default(), Family::default());
+        let evacuations = EvacuationMetrics::new(&mut registry);
         let link = LinkMetrics::new(&mut registry);
         let warmup = WarmupMetrics::new(&mut registry);
         let (followed, followers) = (Family::default(), Gauge::default());
@@ -160,6 +164,7 @@
             calls,
             copies,
             endpoints,
+            evacuations,
             flows,
             followed,
             followers,
--- a/crates/placement/src/endpoint.rs
+++ b/crates/placement/src/endpoint.rs
@@ -68,6 +68,8 @@
     pub address: SocketAddrV4,
     /// Its data centre, if it is known.
     pub centre: Option<CentreKey>,
+    /// Whether operators let it have no new flows, for example while its data centre is evacuated.
+    pub barred: bool,
     /// Distance from the entry.
     pub distance: Distance,
     /// Load from the flows of other entries, as they report it.
@@ -119,6 +121,7 @@
         Self {
             address,
             allowance: Allowance::new(),
+            barred: false,
             backoff: (Duration::ZERO, 0),
             centre: None,
             distance: Distance::Centre,
@@ -143,6 +146,12 @@
         }
     }
 
+    /// Sets whether operators let it have no new flows.
+    pub const fn with_barred(mut self, barred: bool) -> Self {
+        self.barred = barred;
+        self
+    }
+
     /// Sets the lifecycle phase.
     pub const fn with_phase(mut self, phase: Phase) -> Self {
         self.phase = phase;
@@ -190,9 +199,9 @@
         now < self.slow_until.max(self.presumed_until)
     }
 
-    /// Whether new flows may be opened to it in its phase.
+    /// Whether new flows may be opened to it, by its phase and by operators.
     pub const fn accepts_flows(&self) -> bool {
-        matches!(self.phase, Phase::Ready | Phase::Silent)
+        matches!(self.phase, Phase::Ready | Phase::Silent) && !self.barred
     }
 
     /// Load from this entry's own flows.
