Experiments play entries with narrow links

The model had no links, so that it could not show what callers lose to the order of packets: uploads before commands, copies of packets that still wait, links of 0.3 of their rate, callers who come through the entries of other data centres.

Entries have a link each, requests have bodies, a window of 16 packets and acknowledgements for every second one. Four orders stand side by side: the network's, that of the package egress, one that knows what each request still needs, and links without a limit. Six scenarios name their load.

Retransmissions are bound to the flow that they were sent on: a late one could deliver a request on its next attempt's flow, and the end of an opening attempt could refuse a request that had begun to run. Kinds, spells, keys and what endpoints do have files of their own.

--- a/crates/experiment/src/endpoint.rs
+++ b/crates/experiment/src/endpoint.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use crate::simulation::RequestKey;
+use crate::key::RequestKey;
 
 /// What an endpoint does with a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/experiment/src/endpoints.rs
+++ b/crates/experiment/src/endpoints.rs
@@ -45,11 +45,7 @@
     /// over all data centres.
     pub fn slowness(&self, scenario: &Scenario, number: usize, at: Duration) -> f64 {
         let spells = scenario.slow.iter().filter(|spell| spell.covers(at));
-        let affected = spells.filter(|spell| {
-            let rank = u32::try_from(number).map_or(0.0, f64::from);
-            // Multiples of the golden ratio fill the unit interval evenly.
-            (rank * 0.618_033_988_749_895).fract() < spell.share
-        });
+        let affected = spells.filter(|spell| spell.picks(number));
         affected.map(|spell| spell.factor).product()
     }
 }
--- a/crates/experiment/src/experiment.rs
+++ b/crates/experiment/src/experiment.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     endpoints::Endpoints,
+    link::Discipline,
     outcome::Outcome,
     plan::Plan,
     random_policy::RandomPolicy,
@@ -14,8 +15,16 @@
     simulation::Simulation, //
 };
 
-/// Names of the policies, in the order of the table.
-pub const POLICIES: [&str; 4] = ["random", "shipped", "shortest", "central-queue"];
+/// Policies of placement, in the order of the table.
+const PLACEMENTS: [&str; 4] = ["random", "shipped", "shortest", "central-queue"];
+
+/// Orders of the entries' links, likewise; the placement is the one that ships.
+const ORDERS: [(&str, Discipline); 4] = [
+    ("fifo", Discipline::Fifo),
+    ("ordered", Discipline::Ordered),
+    ("ideal", Discipline::Ideal),
+    ("wide", Discipline::Wide),
+];
 
 /// What one policy achieved in one run.
 #[derive(Clone, Debug)]
@@ -45,10 +54,18 @@
 }
 
 impl Experiment {
+    /// Names of the policies, in the order of the table: orders of links if entries have links.
+    pub fn policies(&self) -> Vec<&'static str> {
+        match self.scenario.links.is_empty() {
+            true => PLACEMENTS.to_vec(),
+            false => ORDERS.iter().map(|(name, _)| *name).collect(),
+        }
+    }
+
     /// Number of runs.
     pub fn runs(&self) -> u64 {
         let loads = u64::try_from(self.loads.len()).unwrap_or(u64::MAX);
-        let policies = u64::try_from(POLICIES.len()).unwrap_or(u64::MAX);
+        let policies = u64::try_from(self.policies().len()).unwrap_or(u64::MAX);
         loads.saturating_mul(policies).saturating_mul(self.seeds)
     }
 
@@ -59,7 +76,7 @@
         for load in &self.loads {
             for seed in 0..self.seeds {
                 let plan = Plan::new(&self.scenario, load * capacity, seed);
-                for policy in POLICIES {
+                for policy in self.policies() {
                     let outcome = self.play(&plan, policy, seed);
                     measurements.push(Measurement {
                         load: *load,
@@ -77,15 +94,22 @@
 
     fn play(&self, plan: &Plan, policy: &str, seed: u64) -> Outcome {
         let scenario = &self.scenario;
+        let order = ORDERS.iter().find(|(name, _)| *name == policy);
         match policy {
             "random" => Simulation::new(scenario, plan, RandomPolicy::new(seed), seed).run(),
-            "shipped" => {
-                let endpoints = Endpoints::new(scenario);
-                let policy = ShippedPolicy::new(scenario, &endpoints, seed);
-                Simulation::new(scenario, plan, policy, seed).run()
-            }
+            "shipped" => self.play_shipped(plan, Discipline::Fifo, seed),
             "shortest" => Simulation::new(scenario, plan, ShortestPolicy, seed).run(),
-            _ => central_queue(scenario, plan),
+            _ => match order {
+                Some((_, discipline)) => self.play_shipped(plan, *discipline, seed),
+                None => central_queue(scenario, plan),
+            },
         }
     }
+
+    fn play_shipped(&self, plan: &Plan, discipline: Discipline, seed: u64) -> Outcome {
+        let endpoints = Endpoints::new(&self.scenario);
+        let policy = ShippedPolicy::new(&self.scenario, &endpoints, seed);
+        let simulation = Simulation::new(&self.scenario, plan, policy, seed);
+        simulation.with_discipline(discipline).run()
+    }
 }
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -3,16 +3,24 @@
 //!
 //! The model has endpoints with slots and a queue that sheds, slow spells, and outages of all
 //! entries; clients keep flows open for many requests or open one for each, retransmit, retry and
-//! give up. It has neither machines nor links, so that it shows what placement costs, and nothing
+//! give up. Entries can have links of their own, which the network or the real scheduler orders.
+//! There are no machines, so that it shows what placement and the order of packets cost, and nothing
 //! else.
 
+mod built_in;
+mod delivery;
 mod endpoint;
 mod endpoints;
 mod error;
 mod event;
 mod experiment;
+mod forwarding;
+mod key;
+mod kind;
+mod link;
 mod options;
 mod outcome;
+mod packet;
 mod plan;
 mod plot;
 mod policy;
@@ -23,6 +31,8 @@
 mod shipped_policy;
 mod shortest_policy;
 mod simulation;
+mod spell;
+mod transfer;
 mod transport;
 
 pub use crate::{
@@ -36,6 +46,12 @@
         Experiment,
         Measurement, //
     },
+    key::RequestKey,
+    kind::{
+        Habit,
+        Kind, //
+    },
+    link::Discipline,
     outcome::{
         KindOutcome,
         Outcome, //
@@ -49,15 +65,11 @@
     reference::central_queue,
     run::run,
     scenario::{
-        Habit,
-        Kind,
         Scenario,
         Service, //
     },
     shipped_policy::ShippedPolicy,
     shortest_policy::ShortestPolicy,
-    simulation::{
-        RequestKey,
-        Simulation, //
-    },
+    simulation::Simulation,
+    spell::Spell, //
 };
--- a/crates/experiment/src/options.rs
+++ b/crates/experiment/src/options.rs
@@ -17,7 +17,7 @@
     pub json: Option<PathBuf>,
 
     #[options(
-        help = "loads, relative to what the endpoints can just serve",
+        help = "loads, relative to what endpoints and links can just serve",
         default = "0.5,0.7,0.9,1,1.2,1.5,2,3",
         meta = "LIST",
         no_short
--- a/crates/experiment/src/outcome.rs
+++ b/crates/experiment/src/outcome.rs
@@ -5,9 +5,9 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
-use crate::scenario::{
-    Kind,
-    millis, //
+use crate::{
+    kind::Kind,
+    scenario::millis, //
 };
 
 /// What became of the requests of one kind.
--- a/crates/experiment/src/plan.rs
+++ b/crates/experiment/src/plan.rs
@@ -21,11 +21,16 @@
 /// Spread of the work of requests of one kind: the standard deviation of its logarithm.
 const WORK_SPREAD: f64 = 0.5;
 
+/// Spread of the bodies of requests of one kind, likewise.
+const BODY_SPREAD: f64 = 0.6;
+
 /// A request of a client.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Arrival {
     /// When its client sends it first.
     pub at: Duration,
+    /// Bytes of its body.
+    pub body: u32,
     /// Data centre of the client.
     pub centre: usize,
     /// Its kind.
@@ -68,7 +73,8 @@
                 if random.random_bool((scenario.burst(at) / peak).clamp(0.0, 1.0)) {
                     arrivals.push(Arrival {
                         at,
-                        centre: random.random_range(0..scenario.entries.len()),
+                        body: draw_body(kind.body, &mut random),
+                        centre: draw_centre(scenario, &mut random),
                         kind: number,
                         work: millis(work.sample(&mut random)),
                     });
@@ -79,3 +85,26 @@
         Self { arrivals }
     }
 }
+
+fn draw_body(mean: f64, random: &mut ChaCha8Rng) -> u32 {
+    if mean <= 0.0 {
+        return 0;
+    }
+    let spread = LogNormal::new(mean.ln() - BODY_SPREAD * BODY_SPREAD / 2.0, BODY_SPREAD);
+    let bytes = spread.map_or(mean, |spread| spread.sample(random));
+    // Whole bytes, through a time's whole seconds.
+    u32::try_from(Duration::from_secs_f64(bytes).as_secs()).unwrap_or(u32::MAX)
+}
+
+fn draw_centre(scenario: &Scenario, random: &mut ChaCha8Rng) -> usize {
+    if scenario.callers.is_empty() {
+        return random.random_range(0..scenario.entries.len());
+    }
+    let total: f64 = scenario.callers.iter().sum();
+    let mut rest = random.random_range(0.0..total);
+    let before = scenario.callers.iter().take_while(|share| {
+        rest -= **share;
+        rest >= 0.0
+    });
+    before.count().min(scenario.entries.len() - 1)
+}
--- a/crates/experiment/src/plot.rs
+++ b/crates/experiment/src/plot.rs
@@ -18,10 +18,7 @@
 
 use crate::{
     error::Error,
-    experiment::{
-        Measurement,
-        POLICIES, //
-    },
+    experiment::Measurement, //
 };
 
 /// Width and height, in pixels.
@@ -32,8 +29,13 @@
 /// # Errors
 ///
 /// [`Error::Plot`].
-pub fn draw(path: &Path, title: &str, measurements: &[Measurement]) -> Result<(), Error> {
-    try_draw(path, title, measurements).map_err(|cause| Error::Plot {
+pub fn draw(
+    path: &Path,
+    title: &str,
+    policies: &[&str],
+    measurements: &[Measurement],
+) -> Result<(), Error> {
+    try_draw(path, title, policies, measurements).map_err(|cause| Error::Plot {
         cause: cause.to_string().into(),
         path: path.into(),
     })
@@ -61,6 +63,7 @@
 fn try_draw(
     path: &Path,
     title: &str,
+    policies: &[&str],
     measurements: &[Measurement],
 ) -> Result<(), Box<dyn std::error::Error>> {
     let loads = measurements.iter().map(|measurement| measurement.load);
@@ -75,14 +78,14 @@
         .build_cartesian_2d(0.0..highest, 0.0..1.02)?;
     chart
         .configure_mesh()
-        .x_desc("requests, relative to what the endpoints can just serve")
+        .x_desc("requests, relative to what can just be served")
         .y_desc("worth of the answers, as a share of what was owed")
         .draw()?;
-    for (number, policy) in POLICIES.into_iter().enumerate() {
+    for (number, policy) in policies.iter().enumerate() {
         let colour = Palette99::pick(number).to_rgba();
         chart
             .draw_series(LineSeries::new(series(policy, measurements), &colour))?
-            .label(policy)
+            .label(*policy)
             .legend(move |(x, y)| {
                 plotters::element::PathElement::new([(x, y), (x + 18, y)], colour)
             });
--- a/crates/experiment/src/run.rs
+++ b/crates/experiment/src/run.rs
@@ -17,8 +17,7 @@
     error::Error,
     experiment::{
         Experiment,
-        Measurement,
-        POLICIES, //
+        Measurement, //
     },
     options::Options,
     outcome::KindOutcome,
@@ -67,13 +66,14 @@
     let bar = ProgressBar::new(experiment.runs());
     let measurements = experiment.run(|| bar.inc(1));
     bar.finish_and_clear();
-    print!("{}", table(&measurements));
+    let policies = experiment.policies();
+    print!("{}", table(&policies, &measurements));
     if let Some(path) = &options.json {
         let json = serde_json::to_string_pretty(&measurements).unwrap_or_default();
         write(path, &json)?;
     }
     match &options.plot {
-        Some(path) => plot::draw(path, name, &measurements),
+        Some(path) => plot::draw(path, name, &policies, &measurements),
         None => Ok(()),
     }
 }
@@ -86,7 +86,7 @@
 }
 
 /// The mean of each policy at each load, over all seeds.
-fn table(measurements: &[Measurement]) -> String {
+fn table(policies: &[&str], measurements: &[Measurement]) -> String {
     let mut table = format!(
         "{:>5}  {:<14} {:>6} {:>8} {:>6} {:>8} {:>7}\n",
         "load", "policy", "worth", "in time", "late", "refused", "failed"
@@ -94,10 +94,10 @@
     let mut loads: Vec<_> = measurements.iter().map(|run| run.load).collect();
     loads.dedup();
     for load in loads {
-        for policy in POLICIES {
+        for policy in policies {
             let runs = measurements.iter();
             let runs: Vec<_> = runs
-                .filter(|run| run.load == load && run.policy == policy)
+                .filter(|run| run.load == load && run.policy == *policy)
                 .collect();
             let count = u32::try_from(runs.len()).map_or(1.0, f64::from).max(1.0);
             let mean = |value: &dyn Fn(&Measurement) -> f64| {
--- a/crates/experiment/src/scenario.rs
+++ b/crates/experiment/src/scenario.rs
@@ -6,59 +6,15 @@
     time::Duration, //
 };
 
+use egress::Bandwidth;
 use serde::Deserialize;
 
-use crate::error::Error;
-
-/// The built-in scenarios.
-const BUILT_IN: [(&str, &str); 5] = [
-    ("burst", include_str!("../scenarios/burst.toml")),
-    ("large", include_str!("../scenarios/large.toml")),
-    ("power-loss", include_str!("../scenarios/power-loss.toml")),
-    (
-        "slow-endpoints",
-        include_str!("../scenarios/slow-endpoints.toml"),
-    ),
-    ("small", include_str!("../scenarios/small.toml")),
-];
-
-/// How clients of a kind use flows.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Habit {
-    /// A flow for each request.
-    Fresh,
-    /// Flows stay open, and a request takes an idle one.
-    Pool,
-}
-
-/// A kind of request.
-#[derive(Clone, Debug)]
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields, rename_all = "kebab-case")]
-pub struct Kind {
-    /// Latency objective, in milliseconds.
-    pub aim_ms: f64,
-    /// Time after which a client gives up, in milliseconds.
-    pub deadline_ms: f64,
-    /// How its clients use flows.
-    pub habit: Habit,
-    /// Worth of a late answer.
-    pub late_worth: f64,
-    /// Its name.
-    pub name: Box<str>,
-    /// Requests a second in the whole deployment, at a load of 1.
-    pub rate: f64,
-    /// Further attempts after a request that has not run.
-    pub retries: u32,
-    /// The service that answers it.
-    pub service: Box<str>,
-    /// Mean work at an endpoint, in milliseconds.
-    pub work_ms: f64,
-    /// Worth of an answer in time.
-    pub worth: f64,
-}
+use crate::{
+    built_in::BUILT_IN,
+    error::Error,
+    kind::Kind,
+    spell::Spell, //
+};
 
 /// A service and its endpoints.
 #[derive(Clone, Debug)]
@@ -75,27 +31,6 @@
     pub slots: u16,
 }
 
-/// A time during which something differs, in seconds from the start.
-#[derive(Clone, Copy, Debug)]
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Spell {
-    /// Strength: how many times as many requests, or as long work.
-    #[serde(default = "one")]
-    pub factor: f64,
-    /// Its start.
-    pub from: f64,
-    /// Share of the endpoints that it affects.
-    #[serde(default = "one")]
-    pub share: f64,
-    /// Its end.
-    pub to: f64,
-}
-
-const fn one() -> f64 {
-    1.0
-}
-
 /// A deployment, its clients and what goes wrong.
 #[derive(Clone, Debug)]
 #[derive(Deserialize)]
@@ -104,6 +39,9 @@
     /// Times of more requests.
     #[serde(default)]
     pub bursts: Vec<Spell>,
+    /// Each data centre's share of the clients; equal if empty.
+    #[serde(default)]
+    pub callers: Vec<f64>,
     /// Entries in each data centre.
     pub entries: Vec<usize>,
     /// Kinds of requests.
@@ -112,9 +50,13 @@
     pub client_ms: f64,
     /// One way between data centres, in milliseconds.
     pub hop_ms: f64,
+    /// Rates of the entries' links in megabits a second, which entries have in turn; links are wide
+    /// if it is empty.
+    #[serde(default)]
+    pub links: Vec<f64>,
     /// One way within a data centre, in milliseconds.
     pub local_ms: f64,
-    /// Times during which no entry forwards anything.
+    /// Times during which no entry, or none of a data centre, forwards anything.
     #[serde(default)]
     pub outages: Vec<Spell>,
     /// Duration, in seconds.
@@ -127,13 +69,16 @@
     /// Mean interval between the loads that an entry hears, in milliseconds; they are as old on
     /// arrival.
     pub report_ms: f64,
+    /// Longest pause before a client tries again, in milliseconds.
+    #[serde(default = "default_retry_ms")]
+    pub retry_ms: f64,
+    /// Times during which some links are narrower.
+    #[serde(default)]
+    pub squeezes: Vec<Spell>,
 }
 
-impl Spell {
-    /// Whether it covers a moment.
-    pub fn covers(&self, at: Duration) -> bool {
-        (self.from..self.to).contains(&at.as_secs_f64())
-    }
+const fn default_retry_ms() -> f64 {
+    300.0
 }
 
 impl Scenario {
@@ -197,7 +142,36 @@
 
     /// Whether no entry forwards anything at a moment.
     pub fn is_down(&self, at: Duration) -> bool {
-        self.outages.iter().any(|outage| outage.covers(at))
+        (0..self.entries.len()).all(|centre| self.is_lost(centre, at))
+    }
+
+    /// Whether no entry of a data centre forwards anything at a moment.
+    pub fn is_lost(&self, centre: usize, at: Duration) -> bool {
+        let mut outages = self.outages.iter();
+        outages.any(|outage| outage.covers(at) && outage.affects(centre))
+    }
+
+    /// Data centre of an entry.
+    pub fn centre_of(&self, entry: usize) -> usize {
+        let mut end = 0;
+        let centres = self.entries.iter().take_while(|count| {
+            end += **count;
+            end <= entry
+        });
+        centres.count()
+    }
+
+    /// Rate of an entry's link in megabits a second; none if it is wide.
+    pub fn link(&self, entry: usize) -> Option<f64> {
+        let number = entry.checked_rem(self.links.len())?;
+        self.links.get(number).copied()
+    }
+
+    /// What is left of the rate of an entry's link at a moment, as a factor.
+    pub fn squeeze(&self, entry: usize, at: Duration) -> f64 {
+        let spells = self.squeezes.iter().filter(|spell| spell.covers(at));
+        let affected = spells.filter(|spell| spell.picks(entry));
+        affected.map(|spell| spell.factor).product()
     }
 
     /// One way between two data centres.
@@ -213,8 +187,26 @@
         millis(self.client_ms)
     }
 
-    /// Load at which the busiest service is just able to do the work of all requests.
+    /// Load at which the busiest service is just able to do the work of all requests, and the
+    /// narrowest link to carry its part of them.
     pub fn capacity(&self) -> f64 {
+        self.service_capacity().min(self.link_capacity())
+    }
+
+    fn link_capacity(&self) -> f64 {
+        let kinds = self.kinds.iter();
+        let bytes: f64 = kinds.map(|kind| kind.rate * kind.mean_bytes()).sum();
+        let entries: usize = self.entries.iter().sum();
+        let entries = u32::try_from(entries).map_or(f64::INFINITY, f64::from);
+        let rates = self
+            .links
+            .iter()
+            .filter_map(|rate| Bandwidth::from_megabits(*rate));
+        let narrowest = rates.map(Bandwidth::bytes).fold(f64::INFINITY, f64::min);
+        narrowest * entries / bytes
+    }
+
+    fn service_capacity(&self) -> f64 {
         let loads = self.services.iter().map(|service| {
             let kinds = self.kinds.iter();
             let own = kinds.filter(|kind| kind.service == service.name);
@@ -249,6 +241,17 @@
                 return value(field, "is a time of 0 to 10000 ms");
             }
         }
+        if !(self.callers.is_empty() || self.callers.len() == self.entries.len()) {
+            return value("callers", "has one share for each data centre");
+        }
+        let factors = self.squeezes.iter().map(|spell| spell.factor);
+        let rates = self.links.iter().copied().chain(factors);
+        if rates
+            .chain(self.callers.iter().copied())
+            .any(|rate| !(rate > 0.0 && rate <= 1e6))
+        {
+            return value("links", "and its shares and squeezes are above 0");
+        }
         for service in &self.services {
             if service.endpoints.len() != self.entries.len() {
                 return value("services.endpoints", "has one number for each data centre");
@@ -266,6 +269,9 @@
                 return value("kinds.service", "is the name of a service");
             }
             let times = [kind.aim_ms, kind.deadline_ms, kind.rate, kind.work_ms];
+            if !(0.0..=1e6).contains(&kind.body) {
+                return value("kinds.body", "is a size of 0 to 1000000 bytes");
+            }
             if times.iter().any(|time| !(*time > 0.0 && *time <= 1e6)) {
                 return value("kinds", "have times and rates above 0");
             }
--- a/crates/experiment/src/simulation.rs
+++ b/crates/experiment/src/simulation.rs
@@ -11,11 +11,23 @@
     SeedableRng as _, //
 };
 use rand_chacha::ChaCha8Rng;
-use slotmap::SlotMap;
+use slotmap::{
+    SecondaryMap,
+    SlotMap, //
+};
 
 use crate::{
     endpoints::Endpoints,
     event::Event,
+    key::{
+        FlowKey,
+        RequestKey, //
+    },
+    kind::Kind,
+    link::{
+        Discipline,
+        Link, //
+    },
     outcome::Outcome,
     plan::{
         Arrival,
@@ -26,25 +38,17 @@
         Policy, //
     },
     scenario::{
-        Kind,
         Scenario,
         millis, //
     },
+    transfer::Transfer,
 };
 
-slotmap::new_key_type! {
-    /// Key of a flow.
-    pub struct FlowKey;
-
-    /// Key of a request.
-    pub struct RequestKey;
-}
-
 /// Interval of the entries' timer work.
 const TICK: Duration = Duration::from_millis(250);
 
-/// Longest pause before a client tries again; the shortest is a tenth of it.
-const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Shortest pause before a client tries again, as a share of the longest one.
+const SHORTEST_PAUSE: f64 = 0.1;
 
 /// A flow of a client.
 #[derive(Clone, Copy, Debug)]
@@ -52,6 +56,8 @@
     /// Acknowledgement number of the client's next packet.
     pub acknowledged: u32,
     pub endpoint: Option<usize>,
+    /// Whether the client knows that it is open.
+    pub opened: bool,
     pub view: FlowView,
 }
 
@@ -75,6 +81,8 @@
     /// Idle open flows, by data centre and kind.
     pub(crate) idle: Vec<Vec<FlowKey>>,
     pub(crate) last_port: u32,
+    /// By entry.
+    pub(crate) links: Vec<Link>,
     pub(crate) now: Duration,
     pub(crate) outcome: Outcome,
     plan: &'a Plan,
@@ -83,6 +91,7 @@
     pub(crate) requests: SlotMap<RequestKey, Request>,
     pub(crate) scenario: &'a Scenario,
     sequence: u64,
+    pub(crate) transfers: SecondaryMap<RequestKey, Transfer>,
 }
 
 impl<'a, P: Policy> Simulation<'a, P> {
@@ -95,6 +104,7 @@
             flows: SlotMap::with_key(),
             idle: vec![Vec::new(); lists],
             last_port: 0,
+            links: links(scenario, Discipline::Fifo),
             now: Duration::ZERO,
             outcome: Outcome::new(&scenario.kinds),
             plan,
@@ -103,9 +113,17 @@
             requests: SlotMap::with_key(),
             scenario,
             sequence: 0,
+            transfers: SecondaryMap::new(),
         }
     }
 
+    /// Sets who orders the packets of the entries' links.
+    #[must_use]
+    pub fn with_discipline(mut self, discipline: Discipline) -> Self {
+        self.links = links(self.scenario, discipline);
+        self
+    }
+
     /// Plays the run to its end, when each request has been answered or given up.
     pub fn run(mut self) -> Outcome {
         self.schedule(Duration::ZERO, Event::Arrive(0));
@@ -120,19 +138,25 @@
 
     fn handle(&mut self, event: Event) {
         match event {
+            Event::Acknowledged(request, flow, count) => self.acknowledged(request, flow, count),
             Event::Answered(request) => self.answered(request),
             Event::Arrive(number) => self.arrive(number),
-            Event::Data(request) => self.data(request),
-            Event::Deliver(request) => self.deliver(request),
+            Event::Data(request, flow, number) => self.data(request, flow, number),
+            Event::Depart(entry) => self.depart(entry),
             Event::Exchange => {
                 self.policy.exchange();
                 self.repeat(millis(self.scenario.report_ms), Event::Exchange);
             }
             Event::Expire(request) => self.expire(request),
             Event::Finish(endpoint, request) => self.finish(endpoint, request),
+            Event::GiveUp(request, flow) => self.give_up(request, flow),
             Event::Open(request, flow, copy) => self.open(request, flow, copy),
             Event::Opened(request, flow) => self.opened(request, flow),
+            Event::Reach(packet) => self.reach(packet),
             Event::Refused(request) => self.refused(request),
+            Event::Resend(request, flow, number, pause) => {
+                self.resend(request, flow, number, pause);
+            }
             Event::Retry(request) => self.attempt(request),
             Event::Tick => {
                 self.policy.tick(self.now);
@@ -196,7 +220,7 @@
         }
     }
 
-    fn refused(&mut self, key: RequestKey) {
+    pub(crate) fn refused(&mut self, key: RequestKey) {
         let Some(request) = self.requests.get(key).copied() else {
             return;
         };
@@ -209,7 +233,8 @@
             self.requests.remove(key);
             return;
         }
-        let pause = RETRY_PAUSE.mul_f64(self.random.random_range(0.1..1.0));
+        let longest = millis(self.scenario.retry_ms);
+        let pause = longest.mul_f64(self.random.random_range(SHORTEST_PAUSE..1.0));
         self.schedule(pause, Event::Retry(key));
     }
 
@@ -222,3 +247,10 @@
         self.requests.remove(key);
     }
 }
+
+/// The idle links of all entries.
+fn links(scenario: &Scenario, discipline: Discipline) -> Vec<Link> {
+    let entries: usize = scenario.entries.iter().sum();
+    let rates = (0..entries).map(|entry| scenario.link(entry));
+    rates.map(|rate| Link::new(discipline, rate)).collect()
+}
--- a/crates/experiment/src/transport.rs
+++ b/crates/experiment/src/transport.rs
@@ -9,38 +9,47 @@
 };
 
 use placement::Progress;
-use rand::Rng as _;
 
 use crate::{
-    endpoint::Admission,
     event::Event,
+    key::{
+        FlowKey,
+        RequestKey, //
+    },
+    kind::Habit,
+    packet::{
+        self,
+        Content,
+        HEADER_BYTES,
+        Packet, //
+    },
     policy::{
         FlowView,
         Policy, //
     },
-    scenario::Habit,
     simulation::{
         Flow,
-        FlowKey,
         Request,
-        RequestKey,
         Simulation, //
     },
+    transfer::Transfer,
 };
 
-/// Times after the first one at which a client sends a packet again that was not acknowledged.
-const RETRANSMISSIONS: [Duration; 4] = [
+/// Times between the copies of an opening packet, and from the last one to the end of the attempt.
+const OPENING_PAUSES: [Duration; 3] = [
     Duration::from_millis(200),
-    Duration::from_millis(600),
-    Duration::from_millis(1_400),
-    Duration::from_millis(3_000),
+    Duration::from_millis(400),
+    Duration::from_millis(800),
 ];
 
-/// Copies of an opening packet; the attempt ends when the next one would be due.
+/// Copies of an opening packet.
 const OPEN_COPIES: usize = 2;
 
-/// Bytes of a request, as entries see it.
-const REQUEST_BYTES: u16 = 100;
+/// Time after which a client sends a packet again that was not acknowledged; it doubles each time.
+const RESEND_PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest time between two transmissions of a packet.
+const MAX_RESEND_PAUSE: Duration = Duration::from_millis(1_600);
 
 impl<P: Policy> Simulation<'_, P> {
     pub(crate) fn start_flow(&mut self, request: RequestKey, centre: usize, kind: usize) {
@@ -50,9 +59,7 @@
         let mut services = self.scenario.services.iter();
         let service = services.position(|service| service.name == kind.service);
         self.last_port += 1;
-        let before: usize = self.scenario.entries.iter().take(centre).sum();
-        let count = self.scenario.entries.get(centre).copied().unwrap_or(1);
-        let entry = before + self.random.random_range(0..count);
+        let entry = self.pick_entry(centre);
         // The flow's number is spread over the client's address and port.
         let [high, middle, low, port] = self.last_port.to_be_bytes();
         let client = SocketAddrV4::new(Ipv4Addr::new(100, high, middle, low), port.into());
@@ -62,6 +69,7 @@
         let flow = self.flows.insert(Flow {
             acknowledged: 0,
             endpoint: None,
+            opened: false,
             view: FlowView {
                 entry,
                 key: placement::FlowKey {
@@ -79,131 +87,147 @@
     }
 
     /// The request if it still waits on a flow.
-    fn waiting(&self, request: RequestKey, flow: FlowKey) -> Option<Request> {
+    pub(crate) fn waiting(&self, request: RequestKey, flow: FlowKey) -> Option<Request> {
         let request = self.requests.get(request).copied();
         request.filter(|request| request.flow == Some(flow) && !request.delivered)
     }
 
+    /// Whether a request waits for its flow to open.
+    fn is_opening(&self, request: RequestKey, flow: FlowKey) -> bool {
+        let opened = self.flows.get(flow).is_none_or(|flow| flow.opened);
+        !opened && self.waiting(request, flow).is_some()
+    }
+
     pub(crate) fn open(&mut self, key: RequestKey, flow: FlowKey, copy: usize) {
-        let (Some(_), Some(known)) = (self.waiting(key, flow), self.flows.get(flow).copied())
-        else {
+        if !self.is_opening(key, flow) {
             return;
+        }
+        let next = match copy < OPEN_COPIES {
+            true => Event::Open(key, flow, copy + 1),
+            false => Event::GiveUp(key, flow),
         };
-        match RETRANSMISSIONS.get(copy) {
-            _ if known.endpoint.is_some() => return,
-            Some(pause) => {
-                let previous = copy
-                    .checked_sub(1)
-                    .and_then(|copy| RETRANSMISSIONS.get(copy));
-                let pause = pause.saturating_sub(previous.copied().unwrap_or_default());
-                let next = match copy < OPEN_COPIES {
-                    true => Event::Open(key, flow, copy + 1),
-                    false => Event::Refused(key),
-                };
-                self.schedule(pause, next);
-            }
-            None => {}
+        if let Some(pause) = OPENING_PAUSES.get(copy) {
+            self.schedule(*pause, next);
         }
-        if self.scenario.is_down(self.now) {
+        if !self.find_entry(flow) {
             return;
         }
-        let way = self.scenario.client_way();
-        let endpoint = self.policy.open(self.now, known.view, &self.endpoints);
-        let Some(endpoint) = endpoint else {
-            self.schedule(way, Event::Refused(key));
+        let Some(known) = self.flows.get(flow).copied() else {
+            return;
+        };
+        let chosen = known
+            .endpoint
+            .or_else(|| self.policy.open(self.now, known.view, &self.endpoints));
+        let Some(endpoint) = chosen else {
+            self.schedule(self.scenario.client_way(), Event::Refused(key));
             return;
         };
         if let Some(flow) = self.flows.get_mut(flow) {
             flow.endpoint = Some(endpoint);
         }
-        let there = self.way(key, endpoint);
-        self.schedule(there + way, Event::Opened(key, flow));
+        self.forward(Packet {
+            content: Content::Opening,
+            flow,
+            length: HEADER_BYTES,
+            request: key,
+        });
     }
 
     pub(crate) fn opened(&mut self, key: RequestKey, flow: FlowKey) {
-        if self.waiting(key, flow).is_some() {
-            self.send(key, flow);
+        if !self.is_opening(key, flow) {
+            return;
+        }
+        if let Some(flow) = self.flows.get_mut(flow) {
+            flow.opened = true;
+        }
+        self.send(key, flow);
+    }
+
+    pub(crate) fn give_up(&mut self, key: RequestKey, flow: FlowKey) {
+        if self.is_opening(key, flow) {
+            self.refused(key);
         }
     }
 
     /// Sends a request on an open flow.
     pub(crate) fn send(&mut self, key: RequestKey, flow: FlowKey) {
-        if let Some(request) = self.requests.get_mut(key) {
-            request.flow = Some(flow);
-        }
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        request.flow = Some(flow);
+        let transfer = Transfer::new(request.arrival.body);
+        self.transfers.insert(key, transfer);
+        self.send_window(key, flow);
+    }
+
+    /// Sends the packets of a request that its window allows.
+    fn send_window(&mut self, key: RequestKey, flow: FlowKey) {
         let way = self.scenario.client_way();
-        self.schedule(way, Event::Data(key));
-        for pause in RETRANSMISSIONS {
-            self.schedule(pause + way, Event::Data(key));
+        while let Some(number) = self.transfers.get_mut(key).and_then(Transfer::next) {
+            self.schedule(way, Event::Data(key, flow, number));
+            let resend = Event::Resend(key, flow, number, RESEND_PAUSE);
+            self.schedule(RESEND_PAUSE, resend);
         }
     }
 
-    /// A packet with a request reaches its entry; the first one that is forwarded counts.
-    pub(crate) fn data(&mut self, key: RequestKey) {
-        let Some(request) = self.requests.get(key).copied() else {
-            return;
-        };
-        let Some(flow) = request.flow.and_then(|flow| self.flows.get(flow).copied()) else {
-            return;
-        };
-        let Some(endpoint) = flow.endpoint else {
+    pub(crate) fn resend(
+        &mut self,
+        key: RequestKey,
+        flow: FlowKey,
+        number: usize,
+        pause: Duration,
+    ) {
+        let transfer = self.transfers.get(key);
+        let acknowledged = transfer.is_none_or(|transfer| transfer.is_acknowledged(number));
+        if acknowledged || self.waiting(key, flow).is_none() {
             return;
-        };
-        if request.delivered || self.scenario.is_down(self.now) {
+        }
+        let way = self.scenario.client_way();
+        self.schedule(way, Event::Data(key, flow, number));
+        let pause = (pause * 2).min(MAX_RESEND_PAUSE);
+        self.schedule(pause, Event::Resend(key, flow, number, pause));
+    }
+
+    pub(crate) fn acknowledged(&mut self, key: RequestKey, flow: FlowKey, count: usize) {
+        if self.waiting(key, flow).is_none() {
             return;
         }
-        let progress = Progress {
-            acknowledged: flow.acknowledged,
-            closing: false,
-            length: REQUEST_BYTES,
-            sequence: flow.acknowledged,
-        };
-        self.policy.record(self.now, flow.view, endpoint, progress);
-        if let Some(request) = self.requests.get_mut(key) {
-            request.delivered = true;
+        if let Some(transfer) = self.transfers.get_mut(key) {
+            transfer.acknowledge(count);
         }
-        let way = self.way(key, endpoint);
-        self.schedule(way, Event::Deliver(key));
+        self.send_window(key, flow);
     }
 
-    pub(crate) fn deliver(&mut self, key: RequestKey) {
-        let Some(number) = self.endpoint_of(key) else {
+    /// A packet with a part of a request reaches its entry.
+    pub(crate) fn data(&mut self, key: RequestKey, flow: FlowKey, number: usize) {
+        let Some(request) = self.waiting(key, flow) else {
             return;
         };
-        let Some(endpoint) = self.endpoints.get_mut(number) else {
+        if !self.find_entry(flow) {
             return;
-        };
-        match endpoint.admit(key) {
-            Admission::Queued => {}
-            Admission::Shed => {
-                self.close(key);
-                let way = self.scenario.client_way();
-                self.schedule(way, Event::Refused(key));
-            }
-            Admission::Started => self.start(number, key),
-        }
-    }
-
-    fn start(&mut self, number: usize, key: RequestKey) {
-        let work = self.requests.get(key).map(|request| request.arrival.work);
-        // A request that its client has given up is dropped when its turn comes.
-        let work = work.unwrap_or_default();
-        let slowness = self.endpoints.slowness(self.scenario, number, self.now);
-        self.schedule(work.mul_f64(slowness), Event::Finish(number, key));
-    }
-
-    pub(crate) fn finish(&mut self, number: usize, key: RequestKey) {
-        let next = self
-            .endpoints
-            .get_mut(number)
-            .and_then(|endpoint| endpoint.finish());
-        if let Some(next) = next {
-            self.start(number, next);
-        }
-        if self.requests.contains_key(key) {
-            let way = self.scenario.client_way();
-            self.schedule(way, Event::Answered(key));
         }
+        let Some(known) = self.flows.get(flow).copied() else {
+            return;
+        };
+        let Some(endpoint) = known.endpoint else {
+            return;
+        };
+        let length = packet::length(request.arrival.body, number);
+        let data = u16::try_from(length.saturating_sub(HEADER_BYTES)).unwrap_or(u16::MAX);
+        let part = u32::try_from(number).unwrap_or(u32::MAX);
+        let progress = Progress {
+            acknowledged: known.acknowledged,
+            closing: false,
+            length: data,
+            sequence: known.acknowledged.wrapping_add(part),
+        };
+        self.policy.record(self.now, known.view, endpoint, progress);
+        self.forward(Packet {
+            content: Content::Data(number),
+            flow,
+            length,
+            request: key,
+        });
     }
 
     pub(crate) fn answered(&mut self, key: RequestKey) {
@@ -246,7 +270,8 @@
     /// Passes a packet without data through the flow's entry.
     fn pass(&mut self, key: RequestKey, closing: bool) {
         let flow = self.requests.get(key).and_then(|request| request.flow);
-        let Some(flow) = flow.and_then(|flow| self.flows.get_mut(flow)) else {
+        let Some((number, flow)) = flow.and_then(|key| Some((key, self.flows.get_mut(key)?)))
+        else {
             return;
         };
         flow.acknowledged = flow.acknowledged.wrapping_add(1);
@@ -256,20 +281,23 @@
             length: 0,
             sequence: flow.acknowledged,
         };
-        if let Some(endpoint) = flow.endpoint
-            && !self.scenario.is_down(self.now)
-        {
-            self.policy.record(self.now, flow.view, endpoint, progress);
+        let (Some(endpoint), view) = (flow.endpoint, flow.view) else {
+            return;
+        };
+        let centre = self.scenario.centre_of(view.entry);
+        if !self.scenario.is_lost(centre, self.now) {
+            self.policy.record(self.now, view, endpoint, progress);
+            self.forward(Packet {
+                content: Content::Acknowledgement,
+                flow: number,
+                length: HEADER_BYTES,
+                request: key,
+            });
         }
     }
 
-    fn endpoint_of(&self, key: RequestKey) -> Option<usize> {
-        let flow = self.requests.get(key)?.flow?;
-        self.flows.get(flow)?.endpoint
-    }
-
     /// One way from the client's data centre to an endpoint.
-    fn way(&self, key: RequestKey, endpoint: usize) -> Duration {
+    pub(crate) fn way(&self, key: RequestKey, endpoint: usize) -> Duration {
         let client = self.requests.get(key).map(|request| request.arrival.centre);
         let server = self.endpoints.get(endpoint).map(|endpoint| endpoint.centre);
         self.scenario
--- a/crates/experiment/tests/scenario.rs
+++ b/crates/experiment/tests/scenario.rs
@@ -31,7 +31,9 @@
     let error = Scenario::load("huge").unwrap_err();
     assert_eq!(
         error.to_string(),
-        "no scenario `huge`; built in are: burst, large, power-loss, slow-endpoints, small"
+        "no scenario `huge`; built in are: burst, burst-three-times, large, power-loss, retry-storm, \
+         slow-endpoints, small, squeezed-link, uneven-centres, uploads-before-commands, \
+         zone-cut-in-a-burst"
     );
 }
 
