Entries refuse new flows that their link cannot carry in time

Cause: in a burst an entry with a narrow link takes flows whose first request then waits longer for the link than its route's objective allows; it is late whatever its endpoint does, and others wait behind it.

Nothing changes without a link or an objective.

--- a/crates/codes/src/lib.rs
+++ b/crates/codes/src/lib.rs
@@ -92,6 +92,7 @@
     EntryStarting = 2010, Not, "The entry has just started and does not know the flow's endpoint yet.";
     FlowEndpointUnreachable = 2011, May, "The flow's endpoint is out of reach; the flow was reset so that its caller can send anew.";
     FlowSlowStart = 2012, Not, "The endpoints left are in their slow start, and this entry may open no further flow to them now.";
+    EntryLinkFull = 2013, Not, "The entry's link cannot carry the request within its objective; nothing has run.";
     RequestMalformed = 3001, Not, "The request is not well-formed HTTP/1.1.";
     RequestService = 3002, Not, "No service has the request's host.";
     RequestNoEndpoint = 3003, Not, "No endpoint is ready to serve the request.";
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -28,6 +28,7 @@
         Link,
         describe, //
     },
+    view::View,
 };
 
 /// Largest datagram of a router, in bytes: enough for any that fits into one frame of the network.
@@ -168,7 +169,11 @@
         view.record_congestion(at);
     }
     let mut random = entry.random.borrow_mut();
-    let code = match view.route(now, &packet, &mut *random) {
+    let routed = match admits(entry, &view, &packet) {
+        true => view.route(now, &packet, &mut *random),
+        false => Err(Code::EntryLinkFull),
+    };
+    let code = match routed {
         Ok(key) => {
             let endpoint = view.pool().get(key)?;
             entry
@@ -187,6 +192,14 @@
     Some(Description::reset(to))
 }
 
+/// Whether the entry's link, if it is narrow, bears the flow that a packet opens. A flow whose
+/// first packet has passed is never refused: its request may run.
+fn admits(entry: &Entry, view: &View, packet: &Packet) -> bool {
+    let (class, objective) = (view.class(&packet.flow), view.objective(&packet.flow));
+    let link = entry.link.as_ref();
+    link.is_none_or(|link| link.admits(packet, class, objective) || view.pool().knows(&packet.flow))
+}
+
 /// Resets a flow without a usable endpoint, so that its client does not wait for a timeout.
 fn reset<A: Adapter>(
     packet: &Packet,
@@ -195,7 +208,8 @@
     out: &mut Vec<u8>,
 ) -> Option<SocketAddr> {
     match code {
-        Code::FlowEndpointGone
+        Code::EntryLinkFull
+        | Code::FlowEndpointGone
         | Code::FlowEndpointUnreachable
         | Code::FlowNoEndpoint
         | Code::FlowSlowStart
--- a/crates/edge/src/link.rs
+++ b/crates/edge/src/link.rs
@@ -103,6 +103,17 @@
         self.scheduler.borrow().congested_at()
     }
 
+    /// Whether the link bears the flow that a packet opens, of a route's class and objective.
+    ///
+    /// Copies are always taken: the first packet may have left here or through another entry, and
+    /// the request then runs.
+    pub fn admits(&self, packet: &Packet, class: Class, objective: Option<Duration>) -> bool {
+        match packet.kind {
+            PacketKind::Open(0) => self.scheduler.borrow().admission(class).admits(objective),
+            PacketKind::Established | PacketKind::Open(_) => true,
+        }
+    }
+
     /// Whether a packet repeats one that waits, or that has just left after a long wait.
     pub fn repeats(&self, now: Duration, packet: &Packet) -> bool {
         let key = packet_key(packet);
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -87,6 +87,8 @@
 struct RouteTargets {
     /// Class of its requests on a link.
     class: Class,
+    /// Latency objective of its requests.
+    objective: Option<Duration>,
     /// Whether the route's requests may be retried after any failure.
     repeatable: bool,
     targets: Box<[Target]>,
@@ -360,6 +362,11 @@
         route.map_or(UNKNOWN_CLASS, |route| route.class)
     }
 
+    /// Latency objective of the requests of a flow's route, if it has one.
+    pub fn objective(&self, flow: &FlowKey) -> Option<Duration> {
+        self.routes.get(&flow.destination)?.objective
+    }
+
     /// Records when packets last waited long for the link.
     pub const fn record_congestion(&mut self, at: Duration) {
         self.pool.record_congestion(at);
@@ -430,6 +437,7 @@
                 });
                 let route_targets = RouteTargets {
                     class: terms.map_or(UNKNOWN_CLASS, route_class),
+                    objective: terms.and_then(route_objective),
                     repeatable: route.repeatable,
                     targets: targets.collect(),
                 };
@@ -512,3 +520,8 @@
         },
     }
 }
+
+/// Latency objective of a route's requests.
+fn route_objective(terms: &RouteTerms) -> Option<Duration> {
+    (terms.objective > 0).then(|| Duration::from_millis(terms.objective.into()))
+}
--- a/crates/egress/src/lib.rs
+++ b/crates/egress/src/lib.rs
@@ -5,6 +5,7 @@
 //! link further. A [`Scheduler`] gives the link no more than it carries, so that packets wait where
 //! they can be ordered. It has no clock, socket or thread.
 
+mod admission;
 mod bandwidth;
 mod class;
 mod pacer;
@@ -15,6 +16,7 @@
 mod scheduler;
 
 pub use crate::{
+    admission::Admission,
     bandwidth::Bandwidth,
     class::Class,
     packet::{
--- a/crates/egress/src/queue.rs
+++ b/crates/egress/src/queue.rs
@@ -21,7 +21,7 @@
 const BULK_BYTES: usize = 8_192;
 
 /// Part of the link that bulk gets while other packets wait, as a divisor.
-const BULK_DIVISOR: usize = 8;
+pub(crate) const BULK_DIVISOR: usize = 8;
 
 /// What a flow has in the queue.
 #[derive(Clone, Copy, Debug, Default)]
@@ -36,6 +36,8 @@
     /// Bulk packets. A flow that began to wait earlier is served to its end first, which ends most
     /// of them sooner than turns would.
     bulk: BTreeMap<(Duration, u64), VecDeque<Queued>>,
+    /// Bytes of bulk packets.
+    bulk_bytes: usize,
     /// Bytes that bulk may send before others.
     bulk_credit: usize,
     bytes: usize,
@@ -51,6 +53,11 @@
         self.bytes
     }
 
+    /// Bytes of packets that are not bulk.
+    pub const fn other_bytes(&self) -> usize {
+        self.bytes.saturating_sub(self.bulk_bytes)
+    }
+
     pub fn is_empty(&self) -> bool {
         self.bytes == 0
     }
@@ -98,6 +105,7 @@
     }
 
     fn push_bulk(&mut self, flow: FlowKey, packet: Queued) {
+        self.bulk_bytes += packet.bytes.len();
         self.sequence += 1;
         let place = self.bulk_flows.entry(flow);
         let place = *place.or_insert((packet.since, self.sequence));
@@ -115,6 +123,8 @@
         if first.get().is_empty() {
             first.remove();
         }
+        let length = packet.as_ref().map_or(0, |packet| packet.bytes.len());
+        self.bulk_bytes = self.bulk_bytes.saturating_sub(length);
         packet
     }
 
--- a/crates/egress/src/scheduler.rs
+++ b/crates/egress/src/scheduler.rs
@@ -5,6 +5,7 @@
 use hashbrown::HashSet;
 
 use crate::{
+    admission::Admission,
     bandwidth::Bandwidth,
     class::Class,
     pacer::{
@@ -17,7 +18,10 @@
         PacketKey,
         Queued, //
     },
-    queue::Queue,
+    queue::{
+        BULK_DIVISOR,
+        Queue, //
+    },
     rate_estimator::RateEstimator,
     recent::Recent, //
 };
@@ -79,6 +83,21 @@
         self.pacer.bandwidth().time_for(self.queue.bytes())
     }
 
+    /// Whether the link bears a new flow of a class.
+    pub fn admission(&self, class: Class) -> Admission {
+        Admission::new(self.wait_of(class))
+    }
+
+    /// Time that a new packet of a class would wait: bulk for the whole queue, others for those
+    /// that are not bulk and the part that bulk gets meanwhile.
+    pub fn wait_of(&self, class: Class) -> Duration {
+        let others = self.queue.other_bytes();
+        self.pacer.bandwidth().time_for(match class {
+            Class::Bulk => self.queue.bytes(),
+            Class::Request { .. } | Class::Urgent => others + others / BULK_DIVISOR,
+        })
+    }
+
     /// The rate at which packets leave.
     pub const fn bandwidth(&self) -> Bandwidth {
         self.pacer.bandwidth()
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -227,6 +227,11 @@
         Ok(key)
     }
 
+    /// Whether packets of a flow have passed here.
+    pub fn knows(&self, flow: &FlowKey) -> bool {
+        self.flows.contains_key(flow)
+    }
+
     /// Records when packets last waited long for this entry's link: what was sent up to then and
     /// not answered says nothing of its endpoint.
     pub const fn record_congestion(&mut self, at: Duration) {
