--- a/crates/edge/tests/view.rs
+++ b/crates/edge/tests/view.rs
@@ -17,6 +17,7 @@
     PacketKind,
     Push,
     Route,
+    RouteTerms,
     Share,
     Terms,
     View, //
@@ -183,6 +184,28 @@
     assert_eq!(harness.route(at(20), &packet), Err(Code::PacketAddress));
 }
 
+/// A store of an earlier version sends no terms: its routes have no objective.
+#[test]
+fn objective_of_route() {
+    let mut harness = Harness::new();
+    let flow = open(1).flow;
+    harness.apply(0, push(Some(document(7, &["s"])), vec![]));
+    assert_eq!(harness.view.objective(&flow), None);
+    for (version, objective, expected) in [(8, 0, None), (9, 250, Some(at(250)))] {
+        let terms = RouteTerms {
+            objective,
+            ..RouteTerms::default()
+        };
+        let mut push = push(Some(document(version, &["s"])), vec![]);
+        push.terms = Some(Terms {
+            routes: [terms].into(),
+            ..Terms::default()
+        });
+        harness.apply(0, push);
+        assert_eq!(harness.view.objective(&flow), expected);
+    }
+}
+
 #[test]
 fn apply_older_document() {
     let mut harness = Harness::new();
--- a/crates/egress/src/bandwidth.rs
+++ b/crates/egress/src/bandwidth.rs
@@ -33,6 +33,14 @@
         self.rate * time.as_secs_f64()
     }
 
+    /// The rate multiplied by a positive factor.
+    #[must_use]
+    pub fn scaled(self, factor: f64) -> Self {
+        Self {
+            rate: self.rate * factor,
+        }
+    }
+
     /// Time that a number of bytes takes.
     pub fn time_for(self, bytes: usize) -> Duration {
         let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
