--- a/crates/edge/src/run_entry.rs
+++ b/crates/edge/src/run_entry.rs
@@ -148,6 +148,7 @@
     metrics
         .warmup
         .update(pool.warmup_count(), pool.limited(now));
+    metrics.evacuations.set(view.evacuated());
     let [mut draining, mut gone, mut ready, mut silent] = [0; 4];
     for endpoint in view.pool().iter() {
         match endpoint.phase {
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -33,6 +33,7 @@
     Target, //
 };
 use rand::Rng;
+use store::Evacuated;
 
 use crate::{
     adapter::{
@@ -103,6 +104,8 @@
     confirmed: bool,
     /// When the first document arrived.
     document_since: Option<Duration>,
+    /// The evacuated data centres.
+    evacuated: Evacuated,
     /// When the registry was last searched for expired records.
     expired_at: Duration,
     /// When all running endpoints must have been announced.
@@ -135,6 +138,7 @@
             complete: false,
             confirmed: false,
             document_since: None,
+            evacuated: Evacuated::default(),
             expired_at: Duration::ZERO,
             learning_until,
             locality,
@@ -181,6 +185,11 @@
         self.version
     }
 
+    /// The evacuated data centres, whose endpoints get no new flows.
+    pub const fn evacuated(&self) -> &Evacuated {
+        &self.evacuated
+    }
+
     /// Number of stores that are followed now.
     pub fn followed_stores(&self) -> usize {
         self.sources.iter().filter(|source| source.followed).count()
@@ -232,6 +241,9 @@
             document.terms = push.terms.unwrap_or_default();
             self.apply_document(&document);
         }
+        if let Some(evacuated) = push.evacuated {
+            self.apply_evacuated(now, evacuated);
+        }
         let mut names: Vec<_> = push
             .records
             .iter()
@@ -446,6 +458,25 @@
             .collect();
     }
 
+    /// Puts the evacuated data centres of a store in force, unless later ones are: the store may lag.
+    fn apply_evacuated(&mut self, now: Duration, evacuated: Evacuated) {
+        if evacuated.revision <= self.evacuated.revision {
+            return;
+        }
+        for known in self.registry.iter() {
+            let centre = &known.announcement.centre;
+            let barred = evacuated.contains(centre);
+            if barred != self.evacuated.contains(centre) {
+                self.pool.set_barred(&known.announcement.name, barred);
+            }
+        }
+        let former = std::mem::replace(&mut self.evacuated, evacuated);
+        for centre in former.centres.difference(&self.evacuated.centres) {
+            let centre = self.pool.centre(centre);
+            self.pool.presume_slow(now, centre);
+        }
+    }
+
     fn merge_record(&mut self, now: Duration, slot: usize, record: Record) {
         let name = record.announcement.name.clone();
         let silent = record.silent;
@@ -487,6 +518,7 @@
             announcement.address,
             service,
         )
+        .with_barred(self.evacuated.contains(&announcement.centre))
         .with_phase(phase)
         .with_slots(announcement.slots)
         .with_tag(tag(name).unwrap_or_default())
