--- a/crates/edge/src/decisions.rs
+++ b/crates/edge/src/decisions.rs
@@ -12,6 +12,7 @@
 
 use codes::Code;
 use placement::{
+    Assessment,
     Endpoint,
     Reference, //
 };
@@ -30,6 +31,7 @@
 /// Kind of a log line.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Subject {
+    Assessed,
     Orphaned,
     Placed,
     Refused(Code),
@@ -96,6 +98,25 @@
         );
     }
 
+    /// Records that an endpoint has begun or ceased to perform poorly.
+    pub fn record_assessment(&self, assessment: &Assessment) {
+        self.metrics.performance.changes.inc();
+        if !self.may_log(Subject::Assessed) {
+            return;
+        }
+        let Assessment {
+            count,
+            name,
+            poor,
+            time,
+        } = assessment;
+        let meaning = match poor {
+            true => "an endpoint is slow or fails and gets fewer flows",
+            false => "an endpoint performs as the others again",
+        };
+        log::info!(endpoint = &**name, time = time, observations = count; "{meaning}");
+    }
+
     /// Records a reset of an idle flow whose endpoint has left or is unreachable.
     pub fn record_orphan(&self, packet: &Packet) {
         self.metrics.orphans.inc();
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -58,7 +58,13 @@
 impl Entry {
     /// Creates the state of an entry without known stores and endpoints.
     pub fn new(settings: Settings) -> Self {
+        let learning_until = settings.heartbeat() + LEARNING_MARGIN;
         let locality = Locality::new(&settings.centre).with_regions(settings.regions.clone());
+        let view = View::new(locality, learning_until);
+        let view = match settings.learn {
+            true => view.with_learning(),
+            false => view,
+        };
         Self {
             call: Event::new(),
             called: Cell::default(),
@@ -70,7 +76,7 @@
             random: RefCell::new(ChaCha8Rng::seed_from_u64(rand::random())),
             seeds: RefCell::new(settings.seed_addresses()),
             shutdown: Rc::default(),
-            view: RefCell::new(View::new(locality, settings.heartbeat() + LEARNING_MARGIN)),
+            view: RefCell::new(view),
             settings,
         }
     }
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -94,6 +94,11 @@
             loads: self.follower.changed_loads(&state.loads.borrow()),
             located: if_changed(&mut self.located, state.located_stores()),
             more: false,
+            performance: self.follower.changed_performance(
+                now,
+                &state.loads.borrow(),
+                &state.performance.borrow(),
+            ),
             records: page.records,
             states: page.states,
             stores: if_changed(&mut self.stores, known),
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -38,6 +38,7 @@
     },
     staleness::Staleness,
     store_choice::StoreChoice,
+    store_performance::PERFORMANCE_INTERVAL,
     view::{
         FOLLOWED_STORES, //
         LOAD_SLOT,
@@ -286,6 +287,7 @@
         }
         let mut sent_at = Duration::ZERO;
         let mut tracked = None;
+        let mut performance_due = Duration::ZERO;
         loop {
             let now = self.entry.clock.now();
             let (loads, wanted) = {
@@ -293,9 +295,22 @@
                 (view.report_loads(), view.tracked())
             };
             let changed = tracked.as_ref() != Some(&wanted);
-            if changed || !loads.is_empty() || now.saturating_sub(sent_at) >= KEEPALIVE_INTERVAL {
+            let performance = match now >= performance_due {
+                true => self.entry.view.borrow_mut().report_performance(now),
+                false => Vec::new(),
+            };
+            if !performance.is_empty() {
+                performance_due = now + PERFORMANCE_INTERVAL;
+            }
+            let observed = !performance.is_empty();
+            if changed
+                || observed
+                || !loads.is_empty()
+                || now.saturating_sub(sent_at) >= KEEPALIVE_INTERVAL
+            {
                 let report = FollowerReport {
                     loads,
+                    performance,
                     tracked: changed.then(|| wanted.to_vec()),
                 };
                 let bytes = sender.send(&report).await?;
--- a/crates/edge/src/follower.rs
+++ b/crates/edge/src/follower.rs
@@ -16,11 +16,16 @@
 };
 
 use crate::{
+    endpoint_performance::EndpointPerformance,
     message::EndpointLoad,
     store_loads::{
         FollowerKey,
         StoreLoads, //
     },
+    store_performance::{
+        PerformanceSent,
+        StorePerformance, //
+    },
 };
 
 /// Shortest time for which changes are batched before they are sent to entries.
@@ -55,6 +60,8 @@
     known: Known,
     /// Key of its loads; none if it receives no loads.
     key: Option<FollowerKey>,
+    /// The changes of performance that it was sent.
+    performance_sent: PerformanceSent,
     /// Number of the last change of loads that it was sent.
     sent: Cell<u64>,
     /// References of the endpoints of other data centres that it tracks.
@@ -70,6 +77,7 @@
             centre,
             key,
             known: Known::default(),
+            performance_sent: PerformanceSent::default(),
             sent: Cell::new(0),
             tracked: RefCell::default(),
             tracked_anew: Cell::new(false),
@@ -134,6 +142,25 @@
             .collect()
     }
 
+    /// Performance of the endpoints of its data centre, and of those that it tracks, where something
+    /// was reported since it was sent the last time.
+    pub fn changed_performance(
+        &self,
+        now: Duration,
+        loads: &StoreLoads,
+        performance: &StorePerformance,
+    ) -> Vec<EndpointPerformance> {
+        if self.key.is_none() {
+            return Vec::new();
+        }
+        let tracked = self.tracked.borrow();
+        let wanted = |reference: u32| {
+            loads.centre(reference) == Some(&self.centre) || tracked.contains(&reference)
+        };
+        self.performance_sent
+            .changes(now, performance.total(), wanted)
+    }
+
     /// Time for which changes are batched, by the number of followers of the store. It differs
     /// between followers, so that not all of them are sent a change in one turn of the loop.
     pub fn batch_time(&self, followers: usize) -> Duration {
--- a/crates/edge/src/internal_server.rs
+++ b/crates/edge/src/internal_server.rs
@@ -109,6 +109,7 @@
             let result = serve_follower(state, &follower, version, sender, receiver).await;
             state.loads.borrow_mut().remove_follower(&name, key);
             let now = state.clock.now();
+            state.performance.borrow_mut().remove(now, key.source());
             state.entries.borrow_mut().remove_follower(now, address);
             result
         }
@@ -122,6 +123,8 @@
             };
             let result = receive_gossip(state, source, sender, receiver.retype()).await;
             state.loads.borrow_mut().remove_store(key);
+            let now = state.clock.now();
+            state.performance.borrow_mut().remove(now, key);
             result
         }
     }
@@ -190,6 +193,7 @@
     let metrics = &state.metrics;
     metrics.count_sent("documents", push.document.iter().count());
     metrics.count_sent("loads", push.loads.len());
+    metrics.count_sent("performance", push.performance.len());
     metrics.count_sent("records", push.records.len());
     metrics.count_sent("states", push.states.len());
     metrics.count_sent_bytes("entries", bytes);
@@ -209,6 +213,9 @@
         }
         if let Some(key) = follower.key() {
             state.loads.borrow_mut().report(key, report.loads);
+            let now = state.clock.now();
+            let mut performance = state.performance.borrow_mut();
+            performance.report(now, key.source(), &report.performance);
         }
     }
 }
@@ -246,6 +253,9 @@
         if let Some(changes) = gossip.loads.take() {
             state.loads.borrow_mut().merge(key, changes);
         }
+        let now = state.clock.now();
+        let reports = &gossip.performance;
+        state.performance.borrow_mut().merge(now, key, reports);
         apply_gossip(state, member, address, gossip);
         sender.send(&GossipAck { upto }).await?;
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -17,6 +17,7 @@
 mod document;
 mod document_file;
 mod endpoint_file;
+mod endpoint_performance;
 mod entry;
 mod entry_file;
 mod error;
@@ -37,6 +38,8 @@
 mod message;
 mod metrics;
 mod peers;
+mod performance_metrics;
+mod performance_sums;
 mod readiness;
 mod reload;
 mod run;
@@ -48,7 +51,9 @@
 mod status;
 mod store_choice;
 mod store_loads;
+mod store_performance;
 mod terms;
+mod trailing;
 mod view;
 
 pub use crate::{
@@ -66,6 +71,7 @@
         Route,
         Share, //
     },
+    endpoint_performance::EndpointPerformance,
     error::Error,
     follower::Follower,
     known_entries::KnownEntries,
@@ -79,11 +85,14 @@
     message::{
         BUSY_UNITS,
         EndpointLoad,
+        FollowerReport,
+        Gossip,
         Protocol,
         Push,
         StoreLocation, //
     },
     peers::Peers,
+    performance_sums::PerformanceSums,
     run::run,
     settings::{
         Role,
@@ -95,6 +104,11 @@
         FollowerKey,
         StoreLoads, //
     },
+    store_performance::{
+        PERFORMANCE_INTERVAL,
+        PerformanceSent,
+        StorePerformance, //
+    },
     terms::{
         RouteTerms,
         ServiceTerms,
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -37,6 +37,7 @@
         Protocol, //
     },
     state::StoreState,
+    store_performance::PerformanceSent,
 };
 
 /// Interval of keepalives to a store.
@@ -145,6 +146,7 @@
     let mut cursor = Cursor::default();
     let mut loads_sent = LoadsSent::default();
     let mut entries_sent = EntriesSent::default();
+    let performance_sent = PerformanceSent::default();
     let mut next_keepalive = Duration::ZERO;
     loop {
         let wake = match state.peers.borrow_mut().get_mut(address) {
@@ -157,12 +159,17 @@
         let loads = due.then(|| loads_sent.changes(state, now, address));
         let (mut gossip, more) = gossip(state, address, &mut cursor, loads);
         gossip.entries = due.then(|| entries_sent.due(state, now)).flatten();
+        if due {
+            let performance = state.performance.borrow();
+            gossip.performance = performance_sent.changes(now, performance.local(), |_| true);
+        }
         let changed = !gossip.records.is_empty() || !gossip.renewals.is_empty();
         if due || changed || !gossip.log.is_empty() {
             let bytes = sender.send(&gossip).await?;
             let (metrics, loads) = (&state.metrics, gossip.loads.as_ref().map_or(0, Vec::len));
             metrics.count_sent("gossip_loads", loads);
             metrics.count_sent("gossip_messages", gossip.log.len());
+            metrics.count_sent("gossip_performance", gossip.performance.len());
             metrics.count_sent("gossip_records", gossip.records.len());
             metrics.count_sent("gossip_renewals", gossip.renewals.len());
             metrics.count_sent_bytes("stores", bytes);
@@ -269,6 +276,7 @@
         join: (due && state.needs_join()).then(|| state.member.clone()),
         loads,
         log: queue.into(),
+        performance: Vec::new(),
         records: page.records,
         renewals: page.renewals,
         stores,
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -18,7 +18,9 @@
 
 use crate::{
     document::Document,
-    terms::Terms, //
+    endpoint_performance::EndpointPerformance,
+    terms::Terms,
+    trailing::or_default, //
 };
 
 /// The first frame of a connection, which identifies its sender.
@@ -128,6 +130,10 @@
     pub states: Vec<StateChange>,
     /// The terms of the document, if there is one.
     pub terms: Option<Terms>,
+    /// Performance of the endpoints of the entry's data centre and of those that it tracks, where
+    /// something was reported, summed over all entries.
+    #[serde(deserialize_with = "or_default")]
+    pub performance: Vec<EndpointPerformance>,
 }
 
 /// What an entry reports to a store that it follows; an empty report is a keepalive.
@@ -139,6 +145,9 @@
     /// References of the endpoints of other data centres whose loads the entry tracks, if they
     /// have changed.
     pub tracked: Option<Vec<u32>>,
+    /// Performance of the endpoints that the entry's own flows have observed.
+    #[serde(deserialize_with = "or_default")]
+    pub performance: Vec<EndpointPerformance>,
 }
 
 /// Changes that a store sends to another; only keepalives carry `join`, `loads` and `stores`.
@@ -163,6 +172,9 @@
     /// Internal addresses of the entries that follow the sender, if they are due. Not there in
     /// protocol version 0 either.
     pub entries: Option<Vec<SocketAddrV4>>,
+    /// Performance of endpoints, as reported by the entries that follow the sender.
+    #[serde(deserialize_with = "or_default")]
+    pub performance: Vec<EndpointPerformance>,
 }
 
 /// Gossip of a store of protocol version 0.
@@ -184,6 +196,7 @@
             join: gossip.join,
             loads: gossip.loads,
             log: gossip.log,
+            performance: Vec::new(),
             records: gossip.records,
             renewals: Vec::new(),
             stores: gossip.stores,
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -26,7 +26,10 @@
 };
 use wire::RefusalCount;
 
-use crate::link_metrics::LinkMetrics;
+use crate::{
+    link_metrics::LinkMetrics,
+    performance_metrics::PerformanceMetrics, //
+};
 
 /// Upper bounds of the histograms' buckets, in seconds: from a sync of a fast disk to the longest
 /// wait of a client.
@@ -81,6 +84,8 @@
     pub packets: Counter,
     /// New flows assigned to an endpoint.
     pub placed: Counter,
+    /// What the entry learns of the endpoints' performance.
+    pub performance: PerformanceMetrics,
     /// Whether a store has a quorum, or an entry follows a store that has one: 1 or 0.
     pub quorum: Gauge,
     /// Documents, records, loads and the like that a store has sent, by part.
@@ -116,6 +121,7 @@
         let refusals = Family::default();
         let (sent, sent_bytes) = (Family::default(), Family::default());
         let link = LinkMetrics::new(&mut registry);
+        let performance = PerformanceMetrics::new(&mut registry);
         let (followed, followers) = (Family::default(), Gauge::default());
         registry.register("call_seconds", "Time that calls took", calls.clone());
         registry.register("copies", "Copies of opening packets", copies.clone());
@@ -161,6 +167,7 @@
             link,
             orphans,
             packets,
+            performance,
             placed,
             quorum,
             refusals,
--- a/crates/edge/src/run_entry.rs
+++ b/crates/edge/src/run_entry.rs
@@ -122,6 +122,10 @@
                 entry.decisions.record_io_error(&error);
             }
         }
+        let assessments = entry.view.borrow_mut().assess(now);
+        for assessment in &assessments {
+            entry.decisions.record_assessment(assessment);
+        }
         entry.decisions.flush_omitted(entry.clock.now());
         update_gauges(&entry);
     }
@@ -143,6 +147,10 @@
     metrics.quorum.set(i64::from(view.current()));
     let waiting = entry.link.as_ref().map_or(0, Link::bytes);
     metrics.link.bytes.set(gauge(waiting));
+    let known = view.pool().iter().filter(|endpoint| endpoint.is_known(now));
+    metrics.performance.known.set(gauge(known.count()));
+    let poor = view.pool().iter().filter(|endpoint| endpoint.is_poor());
+    metrics.performance.poor.set(gauge(poor.count()));
     let [mut draining, mut gone, mut ready, mut silent] = [0; 4];
     for endpoint in view.pool().iter() {
         match endpoint.phase {
--- a/crates/edge/src/run_store.rs
+++ b/crates/edge/src/run_store.rs
@@ -65,7 +65,8 @@
     reload::reload_until_stop,
     settings::Settings,
     state::StoreState,
-    store_loads::StoreLoads, //
+    store_loads::StoreLoads,
+    store_performance::StorePerformance, //
 };
 
 /// Interval of timer work.
@@ -198,6 +199,7 @@
         member: member(own, folder.id()),
         metrics: Metrics::new(),
         peers: RefCell::new(Peers::new(own)),
+        performance: RefCell::new(StorePerformance::new()),
         registry: RefCell::new(registry),
         replica: RefCell::new(replica),
         seeds: RefCell::new(seeds),
@@ -254,6 +256,7 @@
             seeds.contains(&address) || members.contains(&address.into())
         });
         update_gauges(&state);
+        state.performance.borrow_mut().retain(now);
         let before = state.registry.borrow().last_change();
         if state.registry.borrow_mut().tick(now) {
             let registry = state.registry.borrow();
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -51,6 +51,9 @@
     heartbeat: f64,
     /// Port for internal connections of entries and other stores to a store.
     pub inner: u16,
+    /// Whether to learn how well each endpoint performs, and to place flows by that; entries only.
+    #[serde(default)]
+    pub learn: bool,
     /// Rate of the instance's link, in megabits a second; entries only. Packets are sent as they
     /// come if it is not given.
     pub link: Option<f64>,
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -26,7 +26,8 @@
     metrics::Metrics,
     peers::Peers,
     settings::Settings,
-    store_loads::StoreLoads, //
+    store_loads::StoreLoads,
+    store_performance::StorePerformance, //
 };
 
 /// State shared by the tasks of a store. No borrow is held across an await.
@@ -46,6 +47,7 @@
     pub member: Member,
     pub metrics: Metrics,
     pub peers: RefCell<Peers>,
+    pub performance: RefCell<StorePerformance>,
     pub registry: RefCell<Registry>,
     pub replica: RefCell<Replica>,
     /// Internal addresses of the seed stores.
--- a/crates/edge/src/store_loads.rs
+++ b/crates/edge/src/store_loads.rs
@@ -42,6 +42,11 @@
     pub const fn number(self) -> u64 {
         self.local.number()
     }
+
+    /// The follower as a source of reports to the store.
+    pub const fn source(self) -> SourceKey {
+        self.total
+    }
 }
 
 /// The loads that a store keeps.
@@ -125,6 +130,12 @@
         }
     }
 
+    /// Data centre of an endpoint, if it is known.
+    pub fn centre(&self, reference: u32) -> Option<&str> {
+        let (_, centre) = self.centres.get(&reference)?;
+        Some(centre)
+    }
+
     /// Sums of the loads of this store's followers.
     pub const fn local(&self) -> &LoadSums {
         &self.local
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -22,6 +22,7 @@
     PacketKey, //
 };
 use placement::{
+    Assessment,
     Endpoint,
     EndpointKey,
     FlowKey,
@@ -40,6 +41,7 @@
         PacketKind, //
     },
     document::Document,
+    endpoint_performance::EndpointPerformance,
     load_delta::LoadDelta,
     locality::Locality,
     message::{
@@ -145,6 +147,12 @@
         }
     }
 
+    /// Learns how well endpoints perform, and places flows by that.
+    pub fn with_learning(mut self) -> Self {
+        self.pool = self.pool.with_learning();
+        self
+    }
+
     /// The endpoints and flows.
     pub const fn pool(&self) -> &Pool {
         &self.pool
@@ -255,6 +263,13 @@
         for loaded in push.loads {
             self.update_load(loaded);
         }
+        for observed in push.performance {
+            if let Some(reference) = Reference::from_number(observed.reference) {
+                let performance = observed.performance(now);
+                let pool = &mut self.pool;
+                pool.set_shared_performance(now, reference, performance);
+            }
+        }
         if self.version > 0 {
             self.document_since.get_or_insert(now);
             self.confirmed |= push.current;
@@ -270,6 +285,7 @@
         source.followed = false;
         if slot == LOAD_SLOT {
             self.pool.clear_external_loads();
+            self.pool.forget_reports(now);
             self.reported = LoadDelta::default();
         }
         let names = std::mem::take(&mut source.silent);
@@ -389,6 +405,22 @@
         self.reported.update(used.collect())
     }
 
+    /// Performance of the endpoints that this entry's own flows have observed since the last
+    /// report.
+    pub fn report_performance(&mut self, now: Duration) -> Vec<EndpointPerformance> {
+        let observed = self.pool.observed_performance().into_iter();
+        observed
+            .map(|(reference, performance)| {
+                EndpointPerformance::new(now, reference.number(), &performance)
+            })
+            .collect()
+    }
+
+    /// Endpoints that have begun or ceased to perform poorly since the last call.
+    pub fn assess(&mut self, now: Duration) -> Vec<Assessment> {
+        self.pool.assess(now)
+    }
+
     fn apply_document(&mut self, document: &Document) {
         self.version = document.version;
         let pool = &mut self.pool;
--- a/crates/placement/src/endpoint.rs
+++ b/crates/placement/src/endpoint.rs
@@ -12,6 +12,10 @@
         MeanBusy,
         MeanLoad, //
     },
+    performance::{
+        Level,
+        Performance, //
+    },
     reference::Reference,
     request::Request, //
 };
@@ -89,6 +93,14 @@
     pub(crate) in_use: bool,
     /// Whether it is in another data centre and its load is known nevertheless.
     pub(crate) tracked: bool,
+    /// Performance as this entry's own flows show it.
+    pub(crate) own_performance: Performance,
+    /// Whether that has changed since it was last reported.
+    pub(crate) observed: bool,
+    /// Whether it performs poorly, by the last assessment.
+    pub(crate) poor: bool,
+    /// Performance as the flows of all entries show it.
+    pub(crate) shared_performance: Performance,
     /// Average of the requests pending on this entry's own flows.
     pub(crate) mean_busy: MeanBusy,
     /// When a client last acknowledged data from it.
@@ -112,12 +124,16 @@
             incarnation,
             name: name.into(),
             mean_busy: MeanBusy::default(),
+            observed: false,
             own_load: Load::default(),
+            own_performance: Performance::default(),
             phase: Phase::Ready,
+            poor: false,
             answered_at: None,
             reference: Reference::from_name(name),
             response_time: None,
             service,
+            shared_performance: Performance::default(),
             slots: 1,
             slow_until: Duration::ZERO,
             tag: 0,
@@ -172,6 +188,33 @@
         MeanLoad::from(self.own_load) + self.external_load
     }
 
+    /// Requests for each slot.
+    pub(crate) fn crowding(&self) -> f32 {
+        self.load().busy / f32::from(self.slots.max(1))
+    }
+
+    /// Performance as far as this entry knows it: what all entries report, unless its own flows
+    /// show more.
+    pub fn performance(&self, now: Duration) -> &Performance {
+        match self.own_performance.count(now) > self.shared_performance.count(now) {
+            true => &self.own_performance,
+            false => &self.shared_performance,
+        }
+    }
+
+    /// Records the relative time of a request that this entry forwarded.
+    pub(crate) fn record_performance(&mut self, now: Duration, level: Level, time: f64) {
+        self.observed = true;
+        self.own_performance.record(now, level, time);
+    }
+
+    /// Records a request or an opening packet that was not answered.
+    pub(crate) fn record_unanswered(&mut self, now: Duration) {
+        self.observed = true;
+        let level = Level::new(self.crowding().into());
+        self.own_performance.record_failure(now, level);
+    }
+
     /// Records an answer.
     pub(crate) fn record_answer(&mut self, now: Duration) {
         self.backoff = (Duration::ZERO, 0);
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -5,18 +5,25 @@
 //! endpoints for new flows by load, which it estimates from the packets of clients. It has no
 //! clock, socket or thread: times are passed as arguments and count from the start of the process.
 
+mod assessment;
+mod congestion;
 mod distance;
 mod endpoint;
 mod flow;
+mod learning;
+mod learnt_selection;
 mod load;
+mod performance;
 mod pool;
 mod pool_loads;
+mod pool_performance;
 mod reference;
 mod request;
 mod selection;
 mod tracking;
 
 pub use crate::{
+    assessment::Assessment,
     distance::Distance,
     endpoint::{
         Endpoint,
@@ -29,6 +36,11 @@
         Load,
         MeanLoad, //
     },
+    performance::{
+        Level,
+        Observations,
+        Performance, //
+    },
     pool::{
         Pool,
         Target, //
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -21,10 +21,12 @@
         Flow,
         FlowKey, //
     },
+    learning::Learning,
     load::{
         Load,
         MeanBusy, //
     },
+    performance::Performance,
     reference::Reference,
     request::Progress,
     selection, //
@@ -71,6 +73,8 @@
     pub(crate) references: HashMap<Reference, EndpointKey>,
     /// Endpoints with a load of this entry's own flows now or not long ago.
     pub(crate) in_use: Vec<EndpointKey>,
+    /// What the pool needs to learn how well endpoints perform; none if it does not.
+    pub(crate) learning: Option<Learning>,
     /// Whether endpoints have changed since the tracked ones were chosen.
     pub(crate) remote_changed: bool,
     services: HashMap<Box<str>, ServiceKey>,
@@ -154,6 +158,9 @@
             self.remove_flow(&flow);
             if let Some(endpoint) = self.endpoints.get_mut(former.endpoint) {
                 endpoint.record_failure(now);
+                if self.learning.is_some() {
+                    endpoint.record_unanswered(now);
+                }
             }
         }
         let excluded = former.map(|former| former.endpoint);
@@ -161,7 +168,14 @@
             .select(now, targets, excluded, random)
             .ok_or(Code::FlowNoEndpoint)?;
         self.remove_flow(&flow);
-        self.insert_flow(flow, Flow::new(now, key));
+        let opened = Flow::new(now, key);
+        self.insert_flow(
+            flow,
+            match former {
+                Some(_) => opened,
+                None => opened.with_opened_at(now),
+            },
+        );
         Ok(key)
     }
 
@@ -189,7 +203,7 @@
             return Err(Code::FlowEndpointGone);
         }
         let paused = self.paused(now);
-        if self.record(now, flow, key, progress) && repeatable && !paused {
+        if self.record(now, flow, key, progress, paused) && repeatable && !paused {
             self.remove_flow(&flow);
             return Err(Code::FlowEndpointUnreachable);
         }
@@ -269,7 +283,10 @@
             flow.refused = true;
             match endpoints.get_mut(flow.endpoint) {
                 Some(endpoint) if !endpoint.answered_since(flow.seen_at) => {
-                    endpoint.record_failure(now)
+                    endpoint.record_failure(now);
+                    if self.learning.is_some() {
+                        endpoint.record_unanswered(now);
+                    }
                 }
                 Some(_) | None => {}
             }
@@ -280,6 +297,7 @@
     pub fn tick(&mut self, now: Duration) {
         if !self.paused(now) {
             self.record_refusals(now);
+            self.record_overdue(now);
         }
         self.sample_loads(now);
         self.ticked_at = now;
@@ -304,8 +322,9 @@
                 .request
                 .is_some_and(|request| now.saturating_sub(request.first_at) > REQUEST_TIMEOUT);
             if stuck && let Some(endpoint) = endpoints.get_mut(flow.endpoint) {
+                let counted = u32::from(flow.counted_request().is_some());
                 flow.request = None;
-                endpoint.own_load.busy = endpoint.own_load.busy.saturating_sub(1);
+                endpoint.own_load.busy = endpoint.own_load.busy.saturating_sub(counted);
             }
         }
     }
@@ -345,8 +364,9 @@
             known.filter(|(key, endpoint)| self.references.get(&endpoint.reference) == Some(key))
         };
         let others = candidates().filter(|(key, _)| Some(*key) != excluded);
-        selection::select(now, others, random)
-            .or_else(|| selection::select(now, candidates(), random))
+        let learns = self.learning.is_some();
+        selection::select(now, others, learns, random)
+            .or_else(|| selection::select(now, candidates(), learns, random))
     }
 
     fn insert(&mut self, endpoint: Endpoint) {
@@ -376,7 +396,11 @@
             in_use: existing.in_use,
             mean_busy: existing.mean_busy,
             tracked: existing.tracked,
+            observed: existing.observed,
             own_load: existing.own_load,
+            own_performance: existing.own_performance,
+            poor: existing.poor,
+            shared_performance: existing.shared_performance,
             ..endpoint
         };
         if restarted {
@@ -386,6 +410,9 @@
             existing.response_time = None;
             existing.mean_busy = MeanBusy::default();
             existing.own_load = Load::default();
+            existing.own_performance = Performance::default();
+            existing.observed = self.learning.is_some();
+            existing.shared_performance = Performance::default();
             self.flows.retain(|_, flow| flow.endpoint != key);
         }
         if former != service {
@@ -430,8 +457,10 @@
         };
         if let Some(endpoint) = self.endpoints.get_mut(flow.endpoint) {
             let own = &mut endpoint.own_load;
-            own.busy = own.busy.saturating_sub(u32::from(flow.request.is_some()));
-            own.flows = own.flows.saturating_sub(u32::from(!flow.closed));
+            own.busy = own
+                .busy
+                .saturating_sub(u32::from(flow.counted_request().is_some()));
+            own.flows = own.flows.saturating_sub(u32::from(flow.is_open()));
         }
     }
 
@@ -442,6 +471,7 @@
         key: FlowKey,
         endpoint: EndpointKey,
         progress: Progress,
+        paused: bool,
     ) -> bool {
         let tracked = self.flows.get(&key);
         if tracked.is_none_or(|flow| flow.endpoint != endpoint) {
@@ -449,7 +479,11 @@
             self.insert_flow(key, Flow::new(now, endpoint).with_established());
         }
         match (self.flows.get_mut(&key), self.endpoints.get_mut(endpoint)) {
-            (Some(flow), Some(endpoint)) => flow.record(now, self.ticked_at, endpoint, progress),
+            (Some(flow), Some(endpoint)) => {
+                let learning = self.learning.as_mut().filter(|_| !paused);
+                let learning = learning.map(|learning| (learning, key.destination));
+                flow.record(now, self.ticked_at, endpoint, progress, learning)
+            }
             _ => false,
         }
     }
--- a/crates/placement/src/pool_loads.rs
+++ b/crates/placement/src/pool_loads.rs
@@ -60,7 +60,7 @@
         let since = self.ticked_at;
         for flow in self.flows.values() {
             let endpoint = self.endpoints.get_mut(flow.endpoint);
-            if let (Some(request), Some(endpoint)) = (flow.request, endpoint) {
+            if let (Some(request), Some(endpoint)) = (flow.counted_request(), endpoint) {
                 let pending = now.saturating_sub(request.first_at.max(since));
                 endpoint.mean_busy.add(pending);
             }
--- a/crates/placement/src/request.rs
+++ b/crates/placement/src/request.rs
@@ -24,8 +24,12 @@
 pub(crate) struct Request {
     /// Acknowledgement number at which the client sent the request.
     pub acknowledged: u32,
+    /// Requests for each slot of its endpoint when it arrived, itself included.
+    pub crowding: f32,
     /// When its last packet arrived.
     pub last_at: Duration,
+    /// Whether it was recorded as failed because it was not answered in time.
+    pub overdue: bool,
     /// Retransmissions of its last packet that passed through this entry.
     pub retransmissions: u32,
     /// Sequence number of its last packet.
@@ -39,13 +43,21 @@
     pub const fn new(now: Duration, progress: Progress) -> Self {
         Self {
             acknowledged: progress.acknowledged,
+            crowding: 0.0,
             last_at: now,
+            overdue: false,
             retransmissions: 0,
             sequence: progress.sequence,
             first_at: now,
         }
     }
 
+    /// Sets the requests for each slot of its endpoint, itself included.
+    pub const fn with_crowding(mut self, crowding: f32) -> Self {
+        self.crowding = crowding;
+        self
+    }
+
     /// Records a packet of the request; returns whether it is a retransmission.
     pub fn record(&mut self, now: Duration, progress: Progress) -> bool {
         let repeated = progress.sequence == self.sequence;
--- a/crates/placement/src/selection.rs
+++ b/crates/placement/src/selection.rs
@@ -13,11 +13,12 @@
         Endpoint,
         Phase, //
     },
+    learnt_selection::select_learnt,
 };
 
 /// Cost of an open flow without a pending request, in requests. Most flows are idle most of the
 /// time; a larger cost pushes new flows out of the data centre (docs/design/platform.md).
-const FLOW_COST: f64 = 0.04;
+pub(crate) const FLOW_COST: f64 = 0.04;
 
 /// Cost of a hop to another data centre, in requests per slot: the hop is short compared with the
 /// work of a request, but a flow within the data centre survives a network partition
@@ -31,7 +32,7 @@
 /// Speed of an endpoint during its slow start, relative to one past it. Endpoints announce how
 /// long it lasts, not how slow they are; meanwhile a request commonly takes one and a half times as
 /// long.
-const SLOW_START_SPEED: f64 = 0.6;
+pub(crate) const SLOW_START_SPEED: f64 = 0.6;
 
 /// Lower bound of an endpoint's speed relative to the other endpoints of its service: below it, the
 /// mean of a few requests is too noisy.
@@ -71,23 +72,34 @@
         Some(response_time) => (mean_response_time / response_time).clamp(MIN_SPEED, 1.0),
         None => 1.0,
     };
-    let hop = match endpoint.distance {
+    let requests = 1.0 + f64::from(load.busy) + f64::from(load.flows) * FLOW_COST;
+    requests / (f64::from(endpoint.slots.max(1)) * speed) + hop_cost(endpoint.distance)
+}
+
+/// Cost of the hop to an endpoint, in requests per slot.
+pub(crate) const fn hop_cost(distance: Distance) -> f64 {
+    match distance {
         Distance::Centre => 0.0,
         Distance::Region => CENTRE_HOP_COST,
         Distance::Far => REGION_HOP_COST,
-    };
-    let requests = 1.0 + f64::from(load.busy) + f64::from(load.flows) * FLOW_COST;
-    requests / (f64::from(endpoint.slots.max(1)) * speed) + hop
+    }
+}
+
+/// Whether an endpoint may be compared with the others at its distance: one whose load is unknown
+/// looks idle.
+fn comparable(endpoint: &Endpoint, any_tracked: bool) -> bool {
+    endpoint.tracked || !any_tracked
 }
 
 /// Selects the endpoint with the least cost from a random sample of the best tier.
 ///
 /// Entries learn of each other's flows with a delay, so an endpoint that looks idle to all of them
 /// must not get all their new flows. Sampling a few endpoints keeps most of the gain of comparing
-/// all.
+/// all. Entries that have learnt how the endpoints perform select by that instead (`learns`).
 pub(crate) fn select<'a, K: Copy>(
     now: Duration,
     candidates: impl Iterator<Item = (K, &'a Endpoint)>,
+    learns: bool,
     random: &mut impl Rng,
 ) -> Option<K> {
     let mut usable: Vec<_> = candidates
@@ -95,6 +107,28 @@
         .collect();
     let best = usable.iter().map(|(tier, _, _)| *tier).min()?;
     usable.retain(|(tier, _, _)| *tier == best);
+    if learns {
+        let tracked_at = |distance: Distance| {
+            usable
+                .iter()
+                .any(|(_, _, endpoint)| endpoint.distance == distance && endpoint.tracked)
+        };
+        let any_tracked = [Distance::Centre, Distance::Region, Distance::Far].map(tracked_at);
+        let [centre, region, far] = any_tracked;
+        let known = usable.iter().filter(|(_, _, endpoint)| {
+            let any_tracked = match endpoint.distance {
+                Distance::Centre => centre,
+                Distance::Region => region,
+                Distance::Far => far,
+            };
+            comparable(endpoint, any_tracked)
+        });
+        return select_learnt(
+            now,
+            known.map(|(_, key, endpoint)| (*key, *endpoint)),
+            random,
+        );
+    }
     let response_times: Vec<_> = usable
         .iter()
         .filter_map(|(_, _, endpoint)| endpoint.response_time)
@@ -110,7 +144,7 @@
         // An endpoint whose load is unknown looks idle.
         let any_tracked = at_distance().any(|(_, _, endpoint)| endpoint.tracked);
         at_distance()
-            .filter(move |(_, _, endpoint)| endpoint.tracked || !any_tracked)
+            .filter(move |(_, _, endpoint)| comparable(endpoint, any_tracked))
             .take(SAMPLE_SIZE)
     });
     let sample = sample.into_iter().flatten();
--- a/crates/placement/tests/load.rs
+++ b/crates/placement/tests/load.rs
@@ -346,3 +346,39 @@
         );
     }
 }
+
+/// Without learning, the same seeds give the same choices as ever.
+#[test]
+fn open_same_choices_for_the_same_seeds() {
+    let mut entries = Entries::new(4, 6, 6);
+    let mut choices: u64 = 0;
+    for number in 0..400_u16 {
+        let now = Duration::from_millis(u64::from(number) * 7);
+        let (pool, random) = &mut entries.entries[usize::from(number % 4)];
+        let flow = FlowKey {
+            client: format!("100.64.0.1:{}", 1_000 + number).parse().unwrap(),
+            destination: "198.18.0.1:443".parse().unwrap(),
+        };
+        pool.tick(now);
+        let key = pool.open(now, flow, &entries.targets, random).unwrap();
+        let reference = pool.get(key).unwrap().reference;
+        choices = choices
+            .wrapping_mul(31)
+            .wrapping_add(u64::from(reference.number()));
+        let packet = |acknowledged, length| Progress {
+            acknowledged,
+            closing: false,
+            length,
+            sequence: 1,
+        };
+        // Requests take from one to fifty milliseconds, and some are never answered.
+        let work = Duration::from_millis(u64::from(number % 50) + 1);
+        let lookup = pool.lookup(now, flow, Some(reference), packet(1, 100), false);
+        assert_eq!(lookup, Ok(key));
+        if number % 9 > 0 {
+            let answered = pool.lookup(now + work, flow, Some(reference), packet(2, 0), false);
+            assert_eq!(answered, Ok(key));
+        }
+    }
+    assert_eq!(choices, 9_285_181_097_551_510_650);
+}
