Learnt choice compares as many endpoints as the new flows' load allows

Cause: one draw by weight is best where new flows turn the load over within the second that loads are old, and worse where flows last: then loads are not out of date.

Change: of up to four drawn endpoints the one wins where one more request costs least; fewer are drawn as the load of all entries' new flows on a slot grows, which an entry knows from its own and the ratio of requests. The model gets uneven speeds, knees and endpoints that lose requests, three scenarios and the policy `learnt`.

Tests: the counts of rows and the list of names follow the new policy and scenarios, as exact as before. `run_learnt_against_shipped` fails where both policies are the same.

--- a/crates/experiment/src/endpoint.rs
+++ b/crates/experiment/src/endpoint.rs
@@ -2,7 +2,10 @@
 
 use std::collections::VecDeque;
 
-use crate::simulation::RequestKey;
+use crate::{
+    scenario::Knee,
+    simulation::RequestKey, //
+};
 
 /// What an endpoint does with a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -22,6 +25,10 @@
     pub centre: usize,
     /// Its service.
     pub service: usize,
+    /// Its speed.
+    pub speed: f64,
+    /// The load from which on it works more slowly, if there is one.
+    pub knee: Option<Knee>,
     /// Requests that it processes at once.
     pub slots: u16,
     /// Requests that it processes now.
@@ -35,14 +42,34 @@
     pub const fn new(centre: usize, service: usize, slots: u16, limit: usize) -> Self {
         Self {
             centre,
+            knee: None,
             limit,
             queue: VecDeque::new(),
             running: 0,
             service,
             slots,
+            speed: 1.0,
         }
     }
 
+    /// Sets its speed.
+    pub const fn with_speed(mut self, speed: f64) -> Self {
+        self.speed = speed;
+        self
+    }
+
+    /// Sets the load from which on it works more slowly.
+    pub const fn with_knee(mut self, knee: Option<Knee>) -> Self {
+        self.knee = knee;
+        self
+    }
+
+    /// How many times as long as its work a request takes that starts now.
+    pub fn slowness(&self) -> f64 {
+        let beyond = self.knee.filter(|knee| self.running > knee.requests);
+        beyond.map_or(1.0, |knee| knee.factor) / self.speed
+    }
+
     /// Takes a request, if it can.
     pub fn admit(&mut self, request: RequestKey) -> Admission {
         match () {
--- a/crates/experiment/src/endpoints.rs
+++ b/crates/experiment/src/endpoints.rs
@@ -18,9 +18,14 @@
     pub fn new(scenario: &Scenario) -> Self {
         let mut endpoints = Vec::new();
         for (number, service) in scenario.services.iter().enumerate() {
-            for (centre, count) in service.endpoints.iter().enumerate() {
-                let endpoint = Endpoint::new(centre, number, service.slots, service.queue);
-                endpoints.extend(std::iter::repeat_n(endpoint, *count));
+            let centres = service.endpoints.iter().enumerate();
+            let centres = centres.flat_map(|(centre, count)| std::iter::repeat_n(centre, *count));
+            for (rank, centre) in centres.enumerate() {
+                let knee = service.knee.filter(|knee| spread(rank) < knee.share);
+                let endpoint = Endpoint::new(centre, number, service.slots, service.queue)
+                    .with_knee(knee)
+                    .with_speed(service.speed(rank));
+                endpoints.push(endpoint);
             }
         }
         Self { endpoints }
@@ -45,11 +50,22 @@
     /// over all data centres.
     pub fn slowness(&self, scenario: &Scenario, number: usize, at: Duration) -> f64 {
         let spells = scenario.slow.iter().filter(|spell| spell.covers(at));
-        let affected = spells.filter(|spell| {
-            let rank = u32::try_from(number).map_or(0.0, f64::from);
-            // Multiples of the golden ratio fill the unit interval evenly.
-            (rank * 0.618_033_988_749_895).fract() < spell.share
-        });
-        affected.map(|spell| spell.factor).product()
+        let affected = spells.filter(|spell| spread(number) < spell.share);
+        let own = self.get(number).map_or(1.0, Endpoint::slowness);
+        affected.map(|spell| spell.factor).product::<f64>() * own
     }
+
+    /// Share of the requests that an endpoint loses at a moment.
+    pub fn failing(&self, scenario: &Scenario, number: usize, at: Duration) -> f64 {
+        let spells = scenario.failing.iter().filter(|spell| spell.covers(at));
+        let affected = spells.filter(|spell| spread(number) < spell.share);
+        affected.map(|spell| spell.factor).fold(0.0, f64::max)
+    }
+}
+
+/// A number between 0 and 1 for an endpoint, such that any share of them is spread evenly.
+fn spread(number: usize) -> f64 {
+    let rank = u32::try_from(number).map_or(0.0, f64::from);
+    // Multiples of the golden ratio fill the unit interval evenly.
+    (rank * 0.618_033_988_749_895).fract()
 }
--- a/crates/experiment/src/experiment.rs
+++ b/crates/experiment/src/experiment.rs
@@ -15,7 +15,7 @@
 };
 
 /// Names of the policies, in the order of the table.
-pub const POLICIES: [&str; 4] = ["random", "shipped", "shortest", "central-queue"];
+pub const POLICIES: [&str; 5] = ["random", "shipped", "learnt", "shortest", "central-queue"];
 
 /// What one policy achieved in one run.
 #[derive(Clone, Debug)]
@@ -79,9 +79,10 @@
         let scenario = &self.scenario;
         match policy {
             "random" => Simulation::new(scenario, plan, RandomPolicy::new(seed), seed).run(),
-            "shipped" => {
+            "learnt" | "shipped" => {
                 let endpoints = Endpoints::new(scenario);
-                let policy = ShippedPolicy::new(scenario, &endpoints, seed);
+                let learns = policy == "learnt";
+                let policy = ShippedPolicy::new(scenario, &endpoints, learns, seed);
                 Simulation::new(scenario, plan, policy, seed).run()
             }
             "shortest" => Simulation::new(scenario, plan, ShortestPolicy, seed).run(),
--- a/crates/experiment/src/reference.rs
+++ b/crates/experiment/src/reference.rs
@@ -31,20 +31,23 @@
     let mut outcome = Outcome::new(&scenario.kinds);
     for service in &scenario.services {
         let endpoints: usize = service.endpoints.iter().sum();
-        let slots = endpoints * usize::from(service.slots);
+        let speeds = (0..endpoints).map(|number| service.speed(number));
+        let slots: Vec<f64> = speeds
+            .flat_map(|speed| std::iter::repeat_n(speed, service.slots.into()))
+            .collect();
         let own = |arrival: &&Arrival| {
             let kind = scenario.kinds.get(arrival.kind);
             kind.is_some_and(|kind| kind.service == service.name)
         };
         let arrivals: Vec<_> = plan.arrivals.iter().filter(own).copied().collect();
-        serve(scenario, &arrivals, slots, &mut outcome);
+        serve(scenario, &arrivals, &slots, &mut outcome);
     }
     outcome
 }
 
-fn serve(scenario: &Scenario, arrivals: &[Arrival], slots: usize, outcome: &mut Outcome) {
+fn serve(scenario: &Scenario, arrivals: &[Arrival], slots: &[f64], outcome: &mut Outcome) {
     let way = scenario.client_way() * 2 + scenario.way(0, 0);
-    let mut free: BinaryHeap<_> = (0..slots)
+    let mut free: BinaryHeap<_> = (0..slots.len())
         .map(|slot| Reverse((Duration::ZERO, slot)))
         .collect();
     let mut pending: Vec<Arrival> = Vec::new();
@@ -84,7 +87,8 @@
         match chosen {
             Some(number) if !down => {
                 let arrival = pending.swap_remove(number);
-                let end = now + arrival.work;
+                let speed = slots.get(slot).copied().unwrap_or(1.0);
+                let end = now + arrival.work.div_f64(speed);
                 if let Some(kind) = scenario.kinds.get(arrival.kind) {
                     let time = (end + way).saturating_sub(arrival.at);
                     outcome.record_answer(arrival.kind, kind, time);
--- a/crates/experiment/src/scenario.rs
+++ b/crates/experiment/src/scenario.rs
@@ -11,8 +11,13 @@
 use crate::error::Error;
 
 /// The built-in scenarios.
-const BUILT_IN: [(&str, &str); 5] = [
+const BUILT_IN: [(&str, &str); 8] = [
     ("burst", include_str!("../scenarios/burst.toml")),
+    (
+        "half-failing",
+        include_str!("../scenarios/half-failing.toml"),
+    ),
+    ("knees", include_str!("../scenarios/knees.toml")),
     ("large", include_str!("../scenarios/large.toml")),
     ("power-loss", include_str!("../scenarios/power-loss.toml")),
     (
@@ -20,6 +25,10 @@
         include_str!("../scenarios/slow-endpoints.toml"),
     ),
     ("small", include_str!("../scenarios/small.toml")),
+    (
+        "uneven-speeds",
+        include_str!("../scenarios/uneven-speeds.toml"),
+    ),
 ];
 
 /// How clients of a kind use flows.
@@ -60,6 +69,19 @@
     pub worth: f64,
 }
 
+/// A load from which on some endpoints of a service work more slowly.
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Knee {
+    /// How many times as long a request takes beyond it.
+    pub factor: f64,
+    /// Requests in work at once up to which an endpoint is as fast as usual.
+    pub requests: u16,
+    /// Share of the endpoints that have it.
+    pub share: f64,
+}
+
 /// A service and its endpoints.
 #[derive(Clone, Debug)]
 #[derive(Deserialize)]
@@ -67,12 +89,38 @@
 pub struct Service {
     /// Endpoints in each data centre.
     pub endpoints: Vec<usize>,
+    /// The knee of some of its endpoints.
+    pub knee: Option<Knee>,
     /// Its name.
     pub name: Box<str>,
     /// Requests that an endpoint queues beyond its slots.
     pub queue: usize,
     /// Requests that an endpoint processes at once.
     pub slots: u16,
+    /// Speeds of its endpoints, in turn.
+    #[serde(default = "even")]
+    pub speeds: Vec<f64>,
+}
+
+fn even() -> Vec<f64> {
+    vec![1.0]
+}
+
+impl Service {
+    /// Speed of an endpoint, by its number in the service.
+    pub fn speed(&self, number: usize) -> f64 {
+        let speeds = self.speeds.iter().cycle();
+        speeds
+            .copied()
+            .nth(number % self.speeds.len().max(1))
+            .unwrap_or(1.0)
+    }
+
+    /// Sum of the speeds of all its endpoints.
+    pub fn total_speed(&self) -> f64 {
+        let endpoints: usize = self.endpoints.iter().sum();
+        (0..endpoints).map(|number| self.speed(number)).sum()
+    }
 }
 
 /// A time during which something differs, in seconds from the start.
@@ -106,6 +154,9 @@
     pub bursts: Vec<Spell>,
     /// Entries in each data centre.
     pub entries: Vec<usize>,
+    /// Times during which some endpoints lose requests; their factor is the share that they lose.
+    #[serde(default)]
+    pub failing: Vec<Spell>,
     /// Kinds of requests.
     pub kinds: Vec<Kind>,
     /// One way between a client and an entry or endpoint, in milliseconds.
@@ -219,9 +270,7 @@
             let kinds = self.kinds.iter();
             let own = kinds.filter(|kind| kind.service == service.name);
             let work: f64 = own.map(|kind| kind.rate * kind.work_ms / 1000.0).sum();
-            let endpoints: usize = service.endpoints.iter().sum();
-            let slots = u32::try_from(endpoints).map_or(f64::INFINITY, f64::from);
-            f64::from(service.slots) * slots / work
+            f64::from(service.slots) * service.total_speed() / work
         });
         loads.fold(f64::INFINITY, f64::min)
     }
@@ -253,10 +302,21 @@
             if service.endpoints.len() != self.entries.len() {
                 return value("services.endpoints", "has one number for each data centre");
             }
+            let speeds = &service.speeds;
+            if speeds.is_empty() || speeds.iter().any(|speed| !(*speed > 0.0 && *speed <= 1e3)) {
+                return value("services.speeds", "has speeds above 0");
+            }
             if service.slots == 0 || service.endpoints.iter().sum::<usize>() == 0 {
                 return value("services", "each need an endpoint and a slot");
             }
         }
+        let shares = self.failing.iter();
+        if shares
+            .map(|spell| spell.factor)
+            .any(|share| !(0.0..=1.0).contains(&share))
+        {
+            return value("failing.factor", "is a share of 0 to 1");
+        }
         for kind in &self.kinds {
             if !self
                 .services
--- a/crates/experiment/src/shipped_policy.rs
+++ b/crates/experiment/src/shipped_policy.rs
@@ -16,6 +16,7 @@
     Distance,
     Endpoint,
     MeanLoad,
+    Performance,
     Pool,
     Progress,
     Reference,
@@ -46,6 +47,9 @@
 #[derive(Debug)]
 pub struct ShippedPolicy {
     names: HashMap<Box<str>, usize>,
+    now: Duration,
+    /// What each entry has observed last of the endpoints' performance.
+    performance: Vec<BTreeMap<u32, Performance>>,
     pools: Vec<Pool>,
     random: ChaCha8Rng,
     /// What each entry told last, which the others hear at the next exchange.
@@ -54,10 +58,13 @@
 }
 
 impl ShippedPolicy {
-    /// Creates the pools of all entries of a scenario.
-    pub fn new(scenario: &Scenario, endpoints: &Endpoints, seed: u64) -> Self {
+    /// Creates the pools of all entries of a scenario; `learns` is whether they learn how well the
+    /// endpoints perform.
+    pub fn new(scenario: &Scenario, endpoints: &Endpoints, learns: bool, seed: u64) -> Self {
         let mut policy = Self {
             names: HashMap::new(),
+            now: Duration::ZERO,
+            performance: Vec::new(),
             pools: Vec::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
             reports: Vec::new(),
@@ -65,14 +72,23 @@
         };
         for (centre, count) in scenario.entries.iter().enumerate() {
             for _ in 0..*count {
-                policy.add_entry(scenario, endpoints, centre);
+                policy.add_entry(scenario, endpoints, centre, learns);
             }
         }
         policy
     }
 
-    fn add_entry(&mut self, scenario: &Scenario, endpoints: &Endpoints, centre: usize) {
-        let mut pool = Pool::new();
+    fn add_entry(
+        &mut self,
+        scenario: &Scenario,
+        endpoints: &Endpoints,
+        centre: usize,
+        learns: bool,
+    ) {
+        let mut pool = match learns {
+            true => Pool::new().with_learning(),
+            false => Pool::new(),
+        };
         let services = scenario.services.iter();
         let keys: Vec<_> = services
             .map(|service| pool.service(&service.name))
@@ -95,13 +111,35 @@
             .into_iter()
             .map(|service| Target { service, weight: 1 })
             .collect();
+        self.performance.push(BTreeMap::new());
         self.pools.push(pool);
         self.reports.push(Report::new());
     }
 }
 
+impl ShippedPolicy {
+    /// Entries hear the sums of what all of them have observed by the last exchange.
+    fn exchange_performance(&mut self) {
+        let now = self.now;
+        let mut sums: BTreeMap<u32, Performance> = BTreeMap::new();
+        for (number, performance) in self.performance.iter().flatten() {
+            sums.entry(*number).or_default().add(now, performance);
+        }
+        for (pool, observed) in self.pools.iter_mut().zip(&mut self.performance) {
+            for (number, sum) in &sums {
+                if let Some(reference) = Reference::from_number(*number) {
+                    pool.set_shared_performance(now, reference, *sum);
+                }
+            }
+            let changed = pool.observed_performance().into_iter();
+            observed.extend(changed.map(|(reference, seen)| (reference.number(), seen)));
+        }
+    }
+}
+
 impl Policy for ShippedPolicy {
     fn exchange(&mut self) {
+        self.exchange_performance();
         let mut totals = Report::new();
         for (reference, (busy, flows)) in self.reports.iter().flatten() {
             let total = totals.entry(*reference).or_default();
@@ -150,6 +188,7 @@
     }
 
     fn tick(&mut self, now: Duration) {
+        self.now = now;
         for pool in &mut self.pools {
             pool.tick(now);
             pool.track_remote(&mut self.random);
--- a/crates/experiment/src/transport.rs
+++ b/crates/experiment/src/transport.rs
@@ -170,6 +170,10 @@
         let Some(number) = self.endpoint_of(key) else {
             return;
         };
+        let failing = self.endpoints.failing(self.scenario, number, self.now);
+        if failing > 0.0 && self.random.random_bool(failing) {
+            return;
+        }
         let Some(endpoint) = self.endpoints.get_mut(number) else {
             return;
         };
--- a/crates/experiment/tests/command_line.rs
+++ b/crates/experiment/tests/command_line.rs
@@ -69,11 +69,11 @@
     assert!(output.status.success(), "{output:?}");
     let table = String::from_utf8(output.stdout).unwrap();
     let lines: Vec<_> = table.lines().collect();
-    assert_eq!(lines.len(), 5);
-    assert!(lines[0].contains("worth") && lines[4].contains("central-queue"));
+    assert_eq!(lines.len(), 6);
+    assert!(lines[0].contains("worth") && lines[5].contains("central-queue"));
     let runs: serde_json::Value =
         serde_json::from_str(&fs::read_to_string(path("runs.json")).unwrap()).unwrap();
-    assert_eq!(runs.as_array().unwrap().len(), 4);
+    assert_eq!(runs.as_array().unwrap().len(), 5);
     assert!(runs[1]["worth"].as_f64().unwrap() > 0.9);
     assert!(
         fs::read_to_string(path("worth.svg"))
--- a/crates/experiment/tests/scenario.rs
+++ b/crates/experiment/tests/scenario.rs
@@ -31,7 +31,7 @@
     let error = Scenario::load("huge").unwrap_err();
     assert_eq!(
         error.to_string(),
-        "no scenario `huge`; built in are: burst, large, power-loss, slow-endpoints, small"
+        "no scenario `huge`; built in are: burst, half-failing, knees, large, power-loss, slow-endpoints, small, uneven-speeds"
     );
 }
 
--- a/crates/experiment/tests/simulation.rs
+++ b/crates/experiment/tests/simulation.rs
@@ -24,12 +24,20 @@
     Plan::new(scenario, 1.0, SEED)
 }
 
-fn shipped(scenario: &Scenario, plan: &Plan) -> Outcome {
+fn pools(scenario: &Scenario, plan: &Plan, learns: bool) -> Outcome {
     let endpoints = Endpoints::new(scenario);
-    let policy = ShippedPolicy::new(scenario, &endpoints, SEED);
+    let policy = ShippedPolicy::new(scenario, &endpoints, learns, SEED);
     Simulation::new(scenario, plan, policy, SEED).run()
 }
 
+fn shipped(scenario: &Scenario, plan: &Plan) -> Outcome {
+    pools(scenario, plan, false)
+}
+
+fn learnt(scenario: &Scenario, plan: &Plan) -> Outcome {
+    pools(scenario, plan, true)
+}
+
 fn shortest(scenario: &Scenario, plan: &Plan) -> Outcome {
     Simulation::new(scenario, plan, ShortestPolicy, SEED).run()
 }
@@ -84,6 +92,7 @@
     for name in Scenario::built_in().filter(|name| *name != "large") {
         let scenario = scenario(name);
         let plan = plan(&scenario);
+        assert_complete(&learnt(&scenario, &plan), &plan);
         assert_complete(&shipped(&scenario, &plan), &plan);
         assert_complete(&shortest(&scenario, &plan), &plan);
         assert_complete(&central_queue(&scenario, &plan), &plan);
@@ -119,6 +128,27 @@
     }
 }
 
+/// Half of the endpoints slow down long before their slots are full: entries that learn so serve
+/// more. Where all are alike, they serve as much.
+#[test]
+fn run_learnt_against_shipped() {
+    let gain = |name| {
+        let scenario = scenario(name);
+        let plan = Plan::new(&scenario, 0.5 * scenario.capacity(), SEED);
+        learnt(&scenario, &plan).worth() - shipped(&scenario, &plan).worth()
+    };
+    assert!(gain("knees") > 0.02, "{}", gain("knees"));
+    for name in [
+        "burst",
+        "half-failing",
+        "power-loss",
+        "slow-endpoints",
+        "small",
+    ] {
+        assert!(gain(name) > -0.01, "{name}: {}", gain(name));
+    }
+}
+
 /// One queue for all endpoints loses less than any placement of flows.
 #[test]
 fn central_queue_overload() {
--- a/crates/placement/src/learning.rs
+++ b/crates/placement/src/learning.rs
@@ -6,11 +6,15 @@
 };
 
 use hashbrown::HashMap;
+use slotmap::SecondaryMap;
 
 use crate::{
     congestion::congestion,
     distance::Distance,
-    endpoint::Endpoint,
+    endpoint::{
+        Endpoint,
+        ServiceKey, //
+    },
     performance::Level,
     request::Request, //
 };
@@ -37,6 +41,18 @@
 const OVERDUE_MIN: Duration = Duration::from_millis(500);
 const OVERDUE_MAX: Duration = Duration::from_secs(2);
 
+/// Time constant of the load that new flows bring.
+const OPENING_TIME: Duration = Duration::from_secs(2);
+
+/// Load that new flows bring.
+#[derive(Clone, Copy, Debug, Default)]
+struct Opening {
+    /// Requests at once, averaged.
+    mean: f64,
+    /// Work of the flows opened since the last sample, in seconds.
+    work: f64,
+}
+
 /// Mean time of a kind of request.
 #[derive(Clone, Copy, Debug, Default)]
 struct KindTime {
@@ -66,11 +82,40 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Learning {
     kinds: HashMap<SocketAddrV4, KindTime>,
+    openings: SecondaryMap<ServiceKey, Opening>,
     /// Mean times of handshakes, by distance of the endpoint, in seconds.
     round_trips: [Option<f64>; 3],
 }
 
 impl Learning {
+    /// Load that this entry's new flows bring to a service, in requests at once.
+    pub fn opening(&self, service: ServiceKey) -> f64 {
+        self.openings
+            .get(service)
+            .map_or(0.0, |opening| opening.mean)
+    }
+
+    /// Records a new flow.
+    pub fn record_open(&mut self, service: ServiceKey, kind: SocketAddrV4) {
+        let work = self.kinds.get(&kind).map_or(0.0, |known| known.mean);
+        if let Some(entry) = self.openings.entry(service) {
+            entry.or_default().work += work;
+        }
+    }
+
+    /// Averages the load that new flows bring; to be called a few times a second.
+    pub fn sample_openings(&mut self, interval: Duration) {
+        let interval = interval.as_secs_f64();
+        if interval <= 0.0 {
+            return;
+        }
+        let weight = (interval / OPENING_TIME.as_secs_f64()).min(1.0);
+        for opening in self.openings.values_mut() {
+            let load = std::mem::take(&mut opening.work) / interval;
+            opening.mean += (load - opening.mean) * weight;
+        }
+    }
+
     /// Records the time of a flow's handshake, which an endpoint answers without work.
     pub fn record_round_trip(&mut self, distance: Distance, time: Duration) {
         let time = time.as_secs_f64();
--- a/crates/placement/src/learnt_selection.rs
+++ b/crates/placement/src/learnt_selection.rs
@@ -33,6 +33,14 @@
 /// are as old, and other data centres may overflow at the same time.
 const MAX_OVERFLOW: f64 = 0.5;
 
+/// Most endpoints that are compared for one flow, and the load that entries may bring to an endpoint
+/// by comparing as many, in requests a slot, before they have heard of each other's flows.
+const MAX_SAMPLE: f64 = 4.0;
+const MAX_SURGE: f64 = 0.35;
+
+/// Units in which the own load is summed.
+const OWN_UNITS: u32 = 65_536;
+
 /// An endpoint as a candidate.
 #[derive(Clone, Copy, Debug)]
 struct Candidate<K> {
@@ -100,13 +108,19 @@
 ///
 /// The nearest endpoints are preferred. Of the flows that they would serve later than more distant
 /// ones, only a part leaves, which grows with the difference.
-pub(crate) fn select_learnt<'a, K: Copy>(
+///
+/// `opening` is the load that this entry's new flows bring, in requests at once. The larger that of
+/// all entries is for a slot, the less the loads tell that they know, and the fewer endpoints are
+/// compared.
+pub(crate) fn select_learnt<K: Copy>(
     now: Duration,
-    usable: impl Iterator<Item = (K, &'a Endpoint)>,
+    usable: &[(K, &Endpoint)],
+    opening: f64,
     random: &mut impl Rng,
 ) -> Option<K> {
     let candidates: Vec<_> = usable
-        .map(|(key, endpoint)| Candidate::new(now, key, endpoint))
+        .iter()
+        .map(|(key, endpoint)| Candidate::new(now, *key, endpoint))
         .collect();
     let distances = [Distance::Centre, Distance::Region, Distance::Far];
     let classes = distances
@@ -119,16 +133,48 @@
             false => nearer,
         }
     })?;
-    let mut draw = random.random_range(0.0..class.weight);
-    let mut members = candidates
+    let members: Vec<_> = candidates
         .iter()
-        .filter(|candidate| candidate.distance == class.distance);
-    let drawn = members.clone().find(|candidate| {
-        draw -= candidate.weight;
-        draw < 0.0
+        .filter(|candidate| candidate.distance == class.distance)
+        .collect();
+    let surge = opening * unheard(class.distance, usable);
+    let sample = (MAX_SURGE / surge).clamp(1.0, MAX_SAMPLE);
+    let more = random.random_bool(sample.fract());
+    let sample = [1.0, 2.0, 3.0, 4.0]
+        .into_iter()
+        .filter(|rank| *rank <= sample.floor() + f64::from(u8::from(more)));
+    let drawn = sample.filter_map(|_| draw(&members, class.weight, random));
+    let best = drawn.min_by(|left, right| left.cost.total_cmp(&right.cost));
+    best.map(|candidate| candidate.key)
+}
+
+/// Draws a candidate by weight.
+fn draw<'a, K>(
+    members: &[&'a Candidate<K>],
+    weight: f64,
+    random: &mut impl Rng,
+) -> Option<&'a Candidate<K>> {
+    let mut rest = random.random_range(0.0..weight);
+    let drawn = members.iter().find(|candidate| {
+        rest -= candidate.weight;
+        rest < 0.0
     });
-    // Rounding may leave a rest of the draw.
-    drawn
-        .or_else(|| members.next())
-        .map(|candidate| candidate.key)
+    // Rounding may leave a rest.
+    drawn.or_else(|| members.first()).copied()
+}
+
+/// Requests of other entries for each of this entry's own, at the endpoints of a distance, for each
+/// of their slots: what the other entries do meanwhile, as long as all do alike.
+fn unheard<K>(distance: Distance, usable: &[(K, &Endpoint)]) -> f64 {
+    let members = usable.iter().map(|(_, endpoint)| endpoint);
+    let (mut others, mut own, mut slots) = (0.0, 0.0, 0.0);
+    for endpoint in members.filter(|endpoint| endpoint.distance == distance) {
+        others += f64::from(endpoint.external_load.busy);
+        own += f64::from(endpoint.mean_busy(OWN_UNITS)) / f64::from(OWN_UNITS);
+        slots += f64::from(endpoint.slots.max(1));
+    }
+    match own > 0.0 {
+        true => others / (own * slots),
+        false => 0.0,
+    }
 }
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -168,6 +168,9 @@
             .select(now, targets, excluded, random)
             .ok_or(Code::FlowNoEndpoint)?;
         self.remove_flow(&flow);
+        if let (Some(learning), Some(endpoint)) = (&mut self.learning, self.endpoints.get(key)) {
+            learning.record_open(endpoint.service, flow.destination);
+        }
         let opened = Flow::new(now, key);
         self.insert_flow(
             flow,
@@ -299,6 +302,9 @@
             self.record_refusals(now);
             self.record_overdue(now);
         }
+        if let Some(learning) = &mut self.learning {
+            learning.sample_openings(now.saturating_sub(self.ticked_at));
+        }
         self.sample_loads(now);
         self.ticked_at = now;
         let expired: Vec<_> = self
@@ -364,9 +370,10 @@
             known.filter(|(key, endpoint)| self.references.get(&endpoint.reference) == Some(key))
         };
         let others = candidates().filter(|(key, _)| Some(*key) != excluded);
-        let learns = self.learning.is_some();
-        selection::select(now, others, learns, random)
-            .or_else(|| selection::select(now, candidates(), learns, random))
+        let learning = self.learning.as_ref();
+        let opening = learning.map(|learning| learning.opening(service));
+        selection::select(now, others, opening, random)
+            .or_else(|| selection::select(now, candidates(), opening, random))
     }
 
     fn insert(&mut self, endpoint: Endpoint) {
--- a/crates/placement/src/selection.rs
+++ b/crates/placement/src/selection.rs
@@ -95,11 +95,12 @@
 ///
 /// Entries learn of each other's flows with a delay, so an endpoint that looks idle to all of them
 /// must not get all their new flows. Sampling a few endpoints keeps most of the gain of comparing
-/// all. Entries that have learnt how the endpoints perform select by that instead (`learns`).
+/// all. Entries that have learnt how the endpoints perform select by that instead; `opening` is the
+/// load that their new flows bring then.
 pub(crate) fn select<'a, K: Copy>(
     now: Duration,
     candidates: impl Iterator<Item = (K, &'a Endpoint)>,
-    learns: bool,
+    opening: Option<f64>,
     random: &mut impl Rng,
 ) -> Option<K> {
     let mut usable: Vec<_> = candidates
@@ -107,7 +108,7 @@
         .collect();
     let best = usable.iter().map(|(tier, _, _)| *tier).min()?;
     usable.retain(|(tier, _, _)| *tier == best);
-    if learns {
+    if let Some(opening) = opening {
         let tracked_at = |distance: Distance| {
             usable
                 .iter()
@@ -123,11 +124,8 @@
             };
             comparable(endpoint, any_tracked)
         });
-        return select_learnt(
-            now,
-            known.map(|(_, key, endpoint)| (*key, *endpoint)),
-            random,
-        );
+        let known: Vec<_> = known.map(|(_, key, endpoint)| (*key, *endpoint)).collect();
+        return select_learnt(now, &known, opening, random);
     }
     let response_times: Vec<_> = usable
         .iter()
