Tests: an entry's view applies and reports performance

Cause: the path from a push to the pool, and from the pool to a report, had no test. Change: two tests, and any bytes are applied with learning too. Seen to fail: without the loop over a push's performance, and without `forget_reports` at a disconnect.

--- a/crates/edge/tests/view.rs
+++ b/crates/edge/tests/view.rs
@@ -12,6 +12,7 @@
     BUSY_UNITS,
     Document,
     EndpointLoad,
+    EndpointPerformance,
     Locality,
     Packet,
     PacketKind,
@@ -107,6 +108,11 @@
         }
     }
 
+    fn with_learning(mut self) -> Self {
+        self.view = self.view.with_learning();
+        self
+    }
+
     fn apply(&mut self, slot: usize, push: Push) -> bool {
         self.view.apply(at(10), slot, push, |_| Some(1))
     }
@@ -235,6 +241,46 @@
     assert_eq!(busy(&harness), 0.0);
 }
 
+/// Others report that an endpoint takes thrice as long: it stays known when its store is lost.
+#[test]
+fn apply_performance() {
+    let mut harness = Harness::new().with_learning();
+    let mut observed = push(Some(document(7, &["s"])), vec![record("i-1", 1, false)]);
+    observed.performance = vec![EndpointPerformance {
+        levels: [(16 * 50, 16 * 150); 3],
+        reference: Reference::from_name("i-1").number(),
+    }];
+    harness.apply(0, observed);
+    let time = |harness: &Harness| {
+        let mut endpoints = harness.view.pool().iter();
+        endpoints.next().unwrap().expected_time(at(20))
+    };
+    assert!(time(&harness) > 2.5);
+    harness.view.disconnect(at(20), 0, |_| Some(1));
+    assert!(time(&harness) > 2.5);
+}
+
+/// What an entry has observed is reported once, and again to the next store.
+#[test]
+fn report_performance_once_for_each_store() {
+    let mut harness = Harness::new().with_learning();
+    harness.apply(
+        0,
+        push(Some(document(7, &["s"])), vec![record("i-1", 1, false)]),
+    );
+    harness.route(at(20), &open(1)).unwrap();
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    // Its opening packet is refused: the client sends nothing more.
+    for millis in [30, 400] {
+        harness.view.tick(at(millis), &mut random);
+    }
+    let reported = harness.view.report_performance(at(400));
+    assert_eq!(reported[0].levels[0].0, 16);
+    assert_eq!(harness.view.report_performance(at(400)), []);
+    harness.view.disconnect(at(400), 0, |_| Some(1));
+    assert_eq!(harness.view.report_performance(at(400)), reported);
+}
+
 #[test]
 fn apply_late_record() {
     let mut harness = Harness::new();
@@ -249,9 +295,10 @@
 fn apply_any_bytes() {
     bolero::check!().for_each(|bytes: &[u8]| {
         if let Ok(push) = postcard::from_bytes::<Push>(bytes) {
-            let mut harness = Harness::new();
-            harness.apply(0, push);
-            let _routed = harness.route(at(20), &open(1));
+            for mut harness in [Harness::new(), Harness::new().with_learning()] {
+                harness.apply(0, push.clone());
+                let _routed = harness.route(at(20), &open(1));
+            }
         }
     });
 }
