--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -15,6 +15,7 @@
 mod load;
 mod performance;
 mod pool;
+mod pool_failures;
 mod pool_loads;
 mod pool_performance;
 mod reference;
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -45,11 +45,6 @@
 /// Time after which an unanswered request no longer counts as pending: its client has given up.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Time after an opening packet by which the client has sent a further packet: a copy, or data if
-/// the flow was answered. A client that has sent neither got a reset: the endpoint's instance runs,
-/// but the endpoint does not.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Time without a tick after which the process counts as paused, and time for which its
 /// observations of endpoints are ignored from then on. A few ticks.
 const PAUSE_TIME: Duration = Duration::from_secs(1);
@@ -274,28 +269,6 @@
         orphans
     }
 
-    /// Records a failure for endpoints that refuse flows: they answer faster than all others, look
-    /// idle, and would get every new flow until the stores miss their heartbeats.
-    fn record_refusals(&mut self, now: Duration) {
-        let endpoints = &mut self.endpoints;
-        for flow in self.flows.values_mut() {
-            let overdue = now.saturating_sub(flow.seen_at) >= ANSWER_TIMEOUT;
-            if flow.established || flow.closed || flow.refused || !overdue {
-                continue;
-            }
-            flow.refused = true;
-            match endpoints.get_mut(flow.endpoint) {
-                Some(endpoint) if !endpoint.answered_since(flow.seen_at) => {
-                    endpoint.record_failure(now);
-                    if self.learning.is_some() {
-                        endpoint.record_unanswered(now);
-                    }
-                }
-                Some(_) | None => {}
-            }
-        }
-    }
-
     /// Expires flows and pending requests; must be called a few times a second.
     pub fn tick(&mut self, now: Duration) {
         if !self.paused(now) {
--- a/crates/placement/src/pool_performance.rs
+++ b/crates/placement/src/pool_performance.rs
@@ -4,7 +4,6 @@
 
 use crate::{
     assessment::Assessment,
-    endpoint::EndpointKey,
     learning::Learning,
     performance::Performance,
     pool::Pool,
@@ -64,29 +63,4 @@
             .filter_map(|endpoint| endpoint.assess(now))
             .collect()
     }
-
-    /// Records requests that have waited for their answers for too long as failures, which no longer
-    /// count as load: most of them were lost.
-    pub(crate) fn record_overdue(&mut self, now: Duration) {
-        let Some(learning) = &self.learning else {
-            return;
-        };
-        for (key, flow) in &mut self.flows {
-            let endpoint: EndpointKey = flow.endpoint;
-            let Some(request) = &mut flow.request else {
-                continue;
-            };
-            if request.overdue || !learning.is_overdue(now, key.destination, request) {
-                continue;
-            }
-            request.overdue = true;
-            if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
-                endpoint.record_unanswered(now);
-                let (own, open) = (&mut endpoint.own_load, flow.is_open());
-                own.busy = own.busy.saturating_sub(1);
-                own.flows = own.flows.saturating_sub(u32::from(open));
-                flow.lost = open;
-            }
-        }
-    }
 }
