--- a/crates/placement/tests/performance.rs
+++ b/crates/placement/tests/performance.rs
@@ -83,7 +83,7 @@
 #[test]
 fn slow_spell_ends_of_a_quarter() {
     let spell = |number: usize, at| Behaviour {
-        speed: match number % 4 == 0 && (5.0..11.0).contains(&at) {
+        speed: match number.is_multiple_of(4) && (5.0..11.0).contains(&at) {
             true => 0.17,
             false => 1.0,
         },
@@ -103,7 +103,7 @@
 #[test]
 fn half_failing_healthy_of_a_sixth() {
     let failing = |number: usize, at| Behaviour {
-        failing: match number % 6 == 0 && (5.0..11.0).contains(&at) {
+        failing: match number.is_multiple_of(6) && (5.0..11.0).contains(&at) {
             true => 0.45,
             false => 0.0,
         },
