--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -59,7 +59,13 @@
     /// Creates the state of an entry without known stores and endpoints.
     pub fn new(settings: Settings) -> Self {
         let address = settings.advertised_address();
+        let learning_until = settings.heartbeat() + LEARNING_MARGIN;
         let locality = Locality::new(&settings.centre).with_regions(settings.regions.clone());
+        let view = View::new(locality, learning_until).with_address(address);
+        let view = match settings.learn {
+            true => view.with_learning(),
+            false => view,
+        };
         Self {
             call: Event::new(),
             called: Cell::default(),
@@ -71,9 +77,7 @@
             random: RefCell::new(ChaCha8Rng::seed_from_u64(rand::random())),
             seeds: RefCell::new(settings.seed_addresses()),
             shutdown: Rc::default(),
-            view: RefCell::new(
-                View::new(locality, settings.heartbeat() + LEARNING_MARGIN).with_address(address),
-            ),
+            view: RefCell::new(view),
             settings,
         }
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,6 +18,7 @@
 mod document;
 mod document_file;
 mod endpoint_file;
+mod endpoint_performance;
 mod entry;
 mod entry_file;
 mod error;
@@ -41,6 +42,8 @@
 mod message;
 mod metrics;
 mod peers;
+mod performance_metrics;
+mod performance_sums;
 mod readiness;
 mod reload;
 mod run;
@@ -52,7 +55,9 @@
 mod status;
 mod store_choice;
 mod store_loads;
+mod store_performance;
 mod terms;
+mod trailing;
 mod view;
 mod view_warmup;
 mod warmup_metrics;
@@ -73,6 +78,7 @@
         Route,
         Share, //
     },
+    endpoint_performance::EndpointPerformance,
     error::Error,
     follower::Follower,
     known_entries::KnownEntries,
@@ -86,11 +92,14 @@
     message::{
         BUSY_UNITS,
         EndpointLoad,
+        FollowerReport,
+        Gossip,
         Protocol,
         Push,
         StoreLocation, //
     },
     peers::Peers,
+    performance_sums::PerformanceSums,
     run::run,
     settings::{
         Role,
@@ -102,6 +111,11 @@
         FollowerKey,
         StoreLoads, //
     },
+    store_performance::{
+        PERFORMANCE_INTERVAL,
+        PerformanceSent,
+        StorePerformance, //
+    },
     terms::{
         RouteTerms,
         ServiceTerms,
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -29,6 +29,7 @@
 use crate::{
     evacuation_metrics::EvacuationMetrics,
     link_metrics::LinkMetrics,
+    performance_metrics::PerformanceMetrics,
     warmup_metrics::WarmupMetrics, //
 };
 
@@ -87,6 +88,8 @@
     pub packets: Counter,
     /// New flows assigned to an endpoint.
     pub placed: Counter,
+    /// What the entry learns of the endpoints' performance.
+    pub performance: PerformanceMetrics,
     /// Whether a store has a quorum, or an entry follows a store that has one: 1 or 0.
     pub quorum: Gauge,
     /// Documents, records, loads and the like that a store has sent, by part.
@@ -125,6 +128,7 @@
         let (sent, sent_bytes) = (Family::default(), Family::default());
         let evacuations = EvacuationMetrics::new(&mut registry);
         let link = LinkMetrics::new(&mut registry);
+        let performance = PerformanceMetrics::new(&mut registry);
         let warmup = WarmupMetrics::new(&mut registry);
         let (followed, followers) = (Family::default(), Gauge::default());
         registry.register("call_seconds", "Time that calls took", calls.clone());
@@ -172,6 +176,7 @@
             link,
             orphans,
             packets,
+            performance,
             placed,
             quorum,
             refusals,
--- a/crates/experiment/src/endpoints.rs
+++ b/crates/experiment/src/endpoints.rs
@@ -18,9 +18,14 @@
     pub fn new(scenario: &Scenario) -> Self {
         let mut endpoints = Vec::new();
         for (number, service) in scenario.services.iter().enumerate() {
-            for (centre, count) in service.endpoints.iter().enumerate() {
-                let endpoint = Endpoint::new(centre, number, service.slots, service.queue);
-                endpoints.extend(std::iter::repeat_n(endpoint, *count));
+            let centres = service.endpoints.iter().enumerate();
+            let centres = centres.flat_map(|(centre, count)| std::iter::repeat_n(centre, *count));
+            for (rank, centre) in centres.enumerate() {
+                let knee = service.knee.filter(|knee| knee.picks(rank));
+                let endpoint = Endpoint::new(centre, number, service.slots, service.queue)
+                    .with_knee(knee)
+                    .with_speed(service.speed(rank));
+                endpoints.push(endpoint);
             }
         }
         Self { endpoints }
@@ -46,6 +51,14 @@
     pub fn slowness(&self, scenario: &Scenario, number: usize, at: Duration) -> f64 {
         let spells = scenario.slow.iter().filter(|spell| spell.covers(at));
         let affected = spells.filter(|spell| spell.picks(number));
-        affected.map(|spell| spell.factor).product()
+        let own = self.get(number).map_or(1.0, Endpoint::slowness);
+        affected.map(|spell| spell.factor).product::<f64>() * own
+    }
+
+    /// Share of the requests that an endpoint loses at a moment.
+    pub fn failing(&self, scenario: &Scenario, number: usize, at: Duration) -> f64 {
+        let spells = scenario.failing.iter().filter(|spell| spell.covers(at));
+        let affected = spells.filter(|spell| spell.picks(number));
+        affected.map(|spell| spell.factor).fold(0.0, f64::max)
     }
 }
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -17,6 +17,7 @@
 mod forwarding;
 mod key;
 mod kind;
+mod knee;
 mod link;
 mod options;
 mod outcome;
@@ -28,10 +29,12 @@
 mod reference;
 mod run;
 mod scenario;
+mod service;
 mod shipped_policy;
 mod shortest_policy;
 mod simulation;
 mod spell;
+mod spread;
 mod transfer;
 mod transport;
 
@@ -64,10 +67,8 @@
     random_policy::RandomPolicy,
     reference::central_queue,
     run::run,
-    scenario::{
-        Scenario,
-        Service, //
-    },
+    scenario::Scenario,
+    service::Service,
     shipped_policy::ShippedPolicy,
     shortest_policy::ShortestPolicy,
     simulation::Simulation,
--- a/crates/experiment/src/scenario.rs
+++ b/crates/experiment/src/scenario.rs
@@ -13,24 +13,10 @@
     built_in::BUILT_IN,
     error::Error,
     kind::Kind,
+    service::Service,
     spell::Spell, //
 };
 
-/// A service and its endpoints.
-#[derive(Clone, Debug)]
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Service {
-    /// Endpoints in each data centre.
-    pub endpoints: Vec<usize>,
-    /// Its name.
-    pub name: Box<str>,
-    /// Requests that an endpoint queues beyond its slots.
-    pub queue: usize,
-    /// Requests that an endpoint processes at once.
-    pub slots: u16,
-}
-
 /// A deployment, its clients and what goes wrong.
 #[derive(Clone, Debug)]
 #[derive(Deserialize)]
@@ -44,6 +30,9 @@
     pub callers: Vec<f64>,
     /// Entries in each data centre.
     pub entries: Vec<usize>,
+    /// Times during which some endpoints lose requests; their factor is the share that they lose.
+    #[serde(default)]
+    pub failing: Vec<Spell>,
     /// Kinds of requests.
     pub kinds: Vec<Kind>,
     /// One way between a client and an entry or endpoint, in milliseconds.
@@ -211,9 +200,7 @@
             let kinds = self.kinds.iter();
             let own = kinds.filter(|kind| kind.service == service.name);
             let work: f64 = own.map(|kind| kind.rate * kind.work_ms / 1000.0).sum();
-            let endpoints: usize = service.endpoints.iter().sum();
-            let slots = u32::try_from(endpoints).map_or(f64::INFINITY, f64::from);
-            f64::from(service.slots) * slots / work
+            f64::from(service.slots) * service.total_speed() / work
         });
         loads.fold(f64::INFINITY, f64::min)
     }
@@ -256,10 +243,21 @@
             if service.endpoints.len() != self.entries.len() {
                 return value("services.endpoints", "has one number for each data centre");
             }
+            let speeds = &service.speeds;
+            if speeds.is_empty() || speeds.iter().any(|speed| !(*speed > 0.0 && *speed <= 1e3)) {
+                return value("services.speeds", "has speeds above 0");
+            }
             if service.slots == 0 || service.endpoints.iter().sum::<usize>() == 0 {
                 return value("services", "each need an endpoint and a slot");
             }
         }
+        let shares = self.failing.iter();
+        if shares
+            .map(|spell| spell.factor)
+            .any(|share| !(0.0..=1.0).contains(&share))
+        {
+            return value("failing.factor", "is a share of 0 to 1");
+        }
         for kind in &self.kinds {
             if !self
                 .services
--- a/crates/experiment/src/spell.rs
+++ b/crates/experiment/src/spell.rs
@@ -4,6 +4,8 @@
 
 use serde::Deserialize;
 
+use crate::spread::spread;
+
 /// A time during which something differs, in seconds from the start.
 #[derive(Clone, Copy, Debug)]
 #[derive(Deserialize)]
@@ -40,8 +42,6 @@
 
     /// Whether it affects one of several numbered things; those affected are spread evenly.
     pub fn picks(&self, number: usize) -> bool {
-        let rank = u32::try_from(number).map_or(0.0, f64::from);
-        // Multiples of the golden ratio fill the unit interval evenly.
-        (rank * 0.618_033_988_749_895).fract() < self.share
+        spread(number) < self.share
     }
 }
--- a/crates/experiment/tests/link.rs
+++ b/crates/experiment/tests/link.rs
@@ -15,7 +15,7 @@
 fn play(name: &str, load: f64, discipline: Discipline) -> Outcome {
     let scenario = Scenario::load(name).unwrap();
     let plan = Plan::new(&scenario, load * scenario.capacity(), SEED);
-    let policy = ShippedPolicy::new(&scenario, &Endpoints::new(&scenario), SEED);
+    let policy = ShippedPolicy::new(&scenario, &Endpoints::new(&scenario), false, SEED);
     let simulation = Simulation::new(&scenario, &plan, policy, SEED);
     let outcome = simulation.with_discipline(discipline).run();
     let kinds = outcome.kinds.iter();
--- a/crates/placement/src/flow.rs
+++ b/crates/placement/src/flow.rs
@@ -10,6 +10,7 @@
         Endpoint,
         EndpointKey, //
     },
+    learning::Learning,
     request::{
         Progress,
         Request, //
@@ -36,6 +37,13 @@
     pub sampled: Duration,
 }
 
+impl Times {
+    /// Whether packets have waited long for the entry's link since `then`.
+    pub fn congested_since(self, then: Duration) -> bool {
+        self.congested.is_some_and(|at| at >= then)
+    }
+}
+
 /// An entry's state for a flow that it forwards. Packets are forwarded correctly without it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Flow {
@@ -49,10 +57,16 @@
     pub endpoint: EndpointKey,
     /// Whether the endpoint has answered the opening packet.
     pub established: bool,
+    /// Whether a request on it is overdue and no packet has arrived since: most likely it is gone.
+    pub lost: bool,
+    /// When its opening packet left; none if that is ambiguous or not known.
+    pub opened_at: Option<Duration>,
     /// Whether it was recorded as refused by its endpoint.
     pub refused: bool,
     /// The pending request.
     pub request: Option<Request>,
+    /// Time of its handshake, if known.
+    pub round_trip: Option<Duration>,
     /// When the last packet arrived.
     pub seen_at: Duration,
 }
@@ -66,8 +80,11 @@
             closed: false,
             endpoint,
             established: false,
+            lost: false,
+            opened_at: None,
             refused: false,
             request: None,
+            round_trip: None,
             seen_at: now,
         }
     }
@@ -78,17 +95,37 @@
         self
     }
 
-    /// Updates the flow and its endpoint from a packet; returns whether the endpoint is
-    /// unreachable.
-    pub fn record(&mut self, times: Times, endpoint: &mut Endpoint, progress: Progress) -> bool {
+    /// Sets when its only opening packet left.
+    pub const fn with_opened_at(mut self, opened_at: Duration) -> Self {
+        self.opened_at = Some(opened_at);
+        self
+    }
+
+    /// Updates the flow and its endpoint from a packet of a kind of request; returns whether the
+    /// endpoint is unreachable.
+    pub fn record(
+        &mut self,
+        times: Times,
+        endpoint: &mut Endpoint,
+        progress: Progress,
+        mut learning: Option<(&mut Learning, SocketAddrV4)>,
+    ) -> bool {
         let now = times.now;
         self.seen_at = now;
         self.acknowledged = progress.acknowledged;
+        if std::mem::take(&mut self.lost) {
+            endpoint.own_load.flows += 1;
+        }
         if !self.established {
             self.established = true;
             endpoint.record_answer(now);
+            let opened_at = self.opened_at.filter(|at| !times.congested_since(*at));
+            self.round_trip = opened_at.map(|at| now.saturating_sub(at));
+            if let (Some((learning, _)), Some(time)) = (&mut learning, self.round_trip) {
+                learning.record_round_trip(endpoint.distance, time);
+            }
         }
-        self.end_request(times, endpoint, progress);
+        self.end_request(times, endpoint, progress, learning);
         if progress.closing && !self.closed {
             self.closed = true;
             endpoint.own_load.flows = endpoint.own_load.flows.saturating_sub(1);
@@ -97,23 +134,38 @@
             _ if progress.length == 0 || self.closed => false,
             Some(request) => {
                 let repeated = request.record(now, progress);
-                let congested = times.congested.is_some_and(|at| at >= request.first_at);
-                repeated && !congested && endpoint.record_retransmission(now, *request)
+                repeated
+                    && !times.congested_since(request.first_at)
+                    && endpoint.record_retransmission(now, *request)
             }
             None => {
-                self.request = Some(Request::new(now, progress));
                 if std::mem::replace(&mut self.carried, true) && endpoint.is_cold(now) {
                     endpoint.allowance.take(now);
                 }
                 endpoint.own_load.busy += 1;
+                let request = Request::new(now, progress);
+                self.request = Some(request.with_crowding(endpoint.crowding()));
                 false
             }
         }
     }
 
+    /// Whether it counts as an open flow of its endpoint.
+    pub const fn is_open(&self) -> bool {
+        !self.closed && !self.lost
+    }
+
+    /// The pending request, unless it is overdue and no longer counts as load.
+    pub fn counted_request(&self) -> Option<&Request> {
+        self.request.as_ref().filter(|request| !request.overdue)
+    }
+
     /// Records that a packet has left after it waited for the link.
     pub fn record_departure(&mut self, now: Duration, sequence: u32) {
         self.seen_at = now;
+        if !self.established && self.opened_at.is_some() {
+            self.opened_at = Some(now);
+        }
         if let Some(request) = &mut self.request
             && request.sequence == sequence
         {
@@ -122,7 +174,13 @@
     }
 
     /// Ends the pending request once its response begins to arrive or the client closes the flow.
-    fn end_request(&mut self, times: Times, endpoint: &mut Endpoint, progress: Progress) {
+    fn end_request(
+        &mut self,
+        times: Times,
+        endpoint: &mut Endpoint,
+        progress: Progress,
+        learning: Option<(&mut Learning, SocketAddrV4)>,
+    ) {
         let now = times.now;
         let Some(request) = self.request else {
             return;
@@ -134,11 +192,19 @@
         if answered && request.retransmissions == 0 {
             endpoint.record_response_time(now.saturating_sub(request.last_at));
         }
+        if let Some((learning, kind)) = learning
+            && answered
+            && !times.congested_since(request.first_at)
+        {
+            learning.record_answer(now, kind, endpoint, request, self.round_trip);
+        }
         if answered || progress.closing {
             self.request = None;
             let pending = now.saturating_sub(request.first_at.max(times.sampled));
-            endpoint.mean_busy.add(pending);
-            endpoint.own_load.busy = endpoint.own_load.busy.saturating_sub(1);
+            if !request.overdue {
+                endpoint.mean_busy.add(pending);
+                endpoint.own_load.busy = endpoint.own_load.busy.saturating_sub(1);
+            }
         }
     }
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -6,14 +6,21 @@
 //! clock, socket or thread: times are passed as arguments and count from the start of the process.
 
 mod allowance;
+mod assessment;
+mod congestion;
 mod distance;
 mod endpoint;
 mod flow;
 mod interner;
+mod learning;
+mod learnt_selection;
 mod load;
+mod performance;
 mod places;
 mod pool;
+mod pool_failures;
 mod pool_loads;
+mod pool_performance;
 mod pool_selection;
 mod pool_warmup;
 mod reference;
@@ -25,6 +32,7 @@
 mod warmup_count;
 
 pub use crate::{
+    assessment::Assessment,
     distance::Distance,
     endpoint::{
         Endpoint,
@@ -37,6 +45,11 @@
         Load,
         MeanLoad, //
     },
+    performance::{
+        Level,
+        Observations,
+        Performance, //
+    },
     places::{
         CentreKey,
         HomesKey,
--- a/crates/placement/src/pool_selection.rs
+++ b/crates/placement/src/pool_selection.rs
@@ -54,8 +54,10 @@
             })
         };
         let others = candidates().filter(|(key, _)| Some(*key) != excluded);
-        selection::select(now, others, random)
-            .or_else(|| selection::select(now, candidates(), random))
+        let learning = self.learning.as_ref();
+        let opening = learning.map(|learning| learning.opening(target.service));
+        selection::select(now, others, opening, random)
+            .or_else(|| selection::select(now, candidates(), opening, random))
     }
 
     /// Whether a flow may be opened to an endpoint at all, however suitable it is.
