--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -12,7 +12,6 @@
 };
 use serde::{
     Deserialize,
-    Deserializer,
     Serialize, //
 };
 use store::{
@@ -23,7 +22,9 @@
 use crate::{
     centre_entries::CentreEntries,
     document::Document,
-    terms::Terms, //
+    endpoint_performance::EndpointPerformance,
+    terms::Terms,
+    trailing::or_default, //
 };
 
 /// The first frame of a connection, which identifies its sender.
@@ -134,11 +135,15 @@
     /// The terms of the document, if there is one.
     pub terms: Option<Terms>,
     /// The evacuated data centres, if they have changed.
-    #[serde(deserialize_with = "trailing")]
+    #[serde(deserialize_with = "or_default")]
     pub evacuated: Option<Evacuated>,
     /// All entries, if they have changed and a service's endpoints have a rate in their slow start.
-    #[serde(deserialize_with = "trailing")]
+    #[serde(deserialize_with = "or_default")]
     pub entries: Option<Vec<CentreEntries>>,
+    /// Performance of the endpoints of the entry's data centre and of those that it tracks, where
+    /// something was reported, summed over all entries.
+    #[serde(deserialize_with = "or_default")]
+    pub performance: Vec<EndpointPerformance>,
 }
 
 /// What an entry reports to a store that it follows; an empty report is a keepalive.
@@ -150,6 +155,9 @@
     /// References of the endpoints of other data centres whose loads the entry tracks, if they
     /// have changed.
     pub tracked: Option<Vec<u32>>,
+    /// Performance of the endpoints that the entry's own flows have observed.
+    #[serde(deserialize_with = "or_default")]
+    pub performance: Vec<EndpointPerformance>,
 }
 
 /// Changes that a store sends to another; only keepalives carry `join`, `loads` and `stores`.
@@ -175,15 +183,11 @@
     /// protocol version 0 either.
     pub entries: Option<Vec<SocketAddrV4>>,
     /// The same entries by their data centres.
-    #[serde(deserialize_with = "trailing")]
+    #[serde(deserialize_with = "or_default")]
     pub located: Option<Vec<CentreEntries>>,
-}
-
-/// Decodes a field at the end of a message, which messages of earlier versions of this program lack.
-fn trailing<'de, D: Deserializer<'de>, T: Default + Deserialize<'de>>(
-    deserializer: D,
-) -> Result<T, D::Error> {
-    Ok(T::deserialize(deserializer).unwrap_or_default())
+    /// Performance of endpoints, as reported by the entries that follow the sender.
+    #[serde(deserialize_with = "or_default")]
+    pub performance: Vec<EndpointPerformance>,
 }
 
 /// Gossip of a store of protocol version 0.
@@ -206,6 +210,7 @@
             loads: gossip.loads,
             located: None,
             log: gossip.log,
+            performance: Vec::new(),
             records: gossip.records,
             renewals: Vec::new(),
             stores: gossip.stores,
--- a/crates/experiment/src/built_in.rs
+++ b/crates/experiment/src/built_in.rs
@@ -1,12 +1,17 @@
 //! The built-in scenarios.
 
 /// Names and texts of the built-in scenarios.
-pub(crate) const BUILT_IN: [(&str, &str); 11] = [
+pub(crate) const BUILT_IN: [(&str, &str); 14] = [
     ("burst", include_str!("../scenarios/burst.toml")),
     (
         "burst-three-times",
         include_str!("../scenarios/burst-three-times.toml"),
     ),
+    (
+        "half-failing",
+        include_str!("../scenarios/half-failing.toml"),
+    ),
+    ("knees", include_str!("../scenarios/knees.toml")),
     ("large", include_str!("../scenarios/large.toml")),
     ("power-loss", include_str!("../scenarios/power-loss.toml")),
     ("retry-storm", include_str!("../scenarios/retry-storm.toml")),
@@ -23,6 +28,10 @@
         "uneven-centres",
         include_str!("../scenarios/uneven-centres.toml"),
     ),
+    (
+        "uneven-speeds",
+        include_str!("../scenarios/uneven-speeds.toml"),
+    ),
     (
         "uploads-before-commands",
         include_str!("../scenarios/uploads-before-commands.toml"),
--- a/crates/experiment/src/delivery.rs
+++ b/crates/experiment/src/delivery.rs
@@ -1,5 +1,7 @@
 //! What endpoints of a simulation do with the packets that reach them.
 
+use rand::Rng as _;
+
 use crate::{
     endpoint::Admission,
     event::Event,
@@ -52,6 +54,10 @@
         if let Some(request) = self.requests.get_mut(key) {
             request.delivered = true;
         }
+        let failing = self.endpoints.failing(self.scenario, number, self.now);
+        if failing > 0.0 && self.random.random_bool(failing) {
+            return;
+        }
         let Some(endpoint) = self.endpoints.get_mut(number) else {
             return;
         };
--- a/crates/experiment/src/experiment.rs
+++ b/crates/experiment/src/experiment.rs
@@ -16,7 +16,7 @@
 };
 
 /// Policies of placement, in the order of the table.
-const PLACEMENTS: [&str; 4] = ["random", "shipped", "shortest", "central-queue"];
+const PLACEMENTS: [&str; 5] = ["random", "shipped", "learnt", "shortest", "central-queue"];
 
 /// Orders of the entries' links, likewise; the placement is the one that ships.
 const ORDERS: [(&str, Discipline); 4] = [
@@ -97,18 +97,25 @@
         let order = ORDERS.iter().find(|(name, _)| *name == policy);
         match policy {
             "random" => Simulation::new(scenario, plan, RandomPolicy::new(seed), seed).run(),
-            "shipped" => self.play_shipped(plan, Discipline::Fifo, seed),
+            "learnt" => self.play_shipped(plan, Discipline::Fifo, true, seed),
+            "shipped" => self.play_shipped(plan, Discipline::Fifo, false, seed),
             "shortest" => Simulation::new(scenario, plan, ShortestPolicy, seed).run(),
             _ => match order {
-                Some((_, discipline)) => self.play_shipped(plan, *discipline, seed),
+                Some((_, discipline)) => self.play_shipped(plan, *discipline, false, seed),
                 None => central_queue(scenario, plan),
             },
         }
     }
 
-    fn play_shipped(&self, plan: &Plan, discipline: Discipline, seed: u64) -> Outcome {
+    fn play_shipped(
+        &self,
+        plan: &Plan,
+        discipline: Discipline,
+        learns: bool,
+        seed: u64,
+    ) -> Outcome {
         let endpoints = Endpoints::new(&self.scenario);
-        let policy = ShippedPolicy::new(&self.scenario, &endpoints, seed);
+        let policy = ShippedPolicy::new(&self.scenario, &endpoints, learns, seed);
         let simulation = Simulation::new(&self.scenario, plan, policy, seed);
         simulation.with_discipline(discipline).run()
     }
--- a/crates/experiment/tests/scenario.rs
+++ b/crates/experiment/tests/scenario.rs
@@ -31,9 +31,9 @@
     let error = Scenario::load("huge").unwrap_err();
     assert_eq!(
         error.to_string(),
-        "no scenario `huge`; built in are: burst, burst-three-times, large, power-loss, retry-storm, \
-         slow-endpoints, small, squeezed-link, uneven-centres, uploads-before-commands, \
-         zone-cut-in-a-burst"
+        "no scenario `huge`; built in are: burst, burst-three-times, half-failing, knees, large, \
+         power-loss, retry-storm, slow-endpoints, small, squeezed-link, uneven-centres, \
+         uneven-speeds, uploads-before-commands, zone-cut-in-a-burst"
     );
 }
 
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -23,10 +23,12 @@
         FlowKey,
         Times, //
     },
+    learning::Learning,
     load::{
         Load,
         MeanBusy, //
     },
+    performance::Performance,
     places::{
         CentreKey,
         HomesKey,
@@ -53,11 +55,6 @@
 /// Time after which an unanswered request no longer counts as pending: its client has given up.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Time after an opening packet by which the client has sent a further packet: a copy, or data if
-/// the flow was answered. A client that has sent neither got a reset: the endpoint's instance runs,
-/// but the endpoint does not.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Time without a tick after which the process counts as paused, and time for which its
 /// observations of endpoints are ignored from then on. A few ticks.
 const PAUSE_TIME: Duration = Duration::from_secs(1);
@@ -72,9 +69,11 @@
     pub(crate) places: Places,
     pub(crate) references: HashMap<Reference, EndpointKey>,
     /// When packets last waited long for this entry's link.
-    congested_at: Option<Duration>,
+    pub(crate) congested_at: Option<Duration>,
     /// Endpoints with a load of this entry's own flows now or not long ago.
     pub(crate) in_use: Vec<EndpointKey>,
+    /// What the pool needs to learn how well endpoints perform; none if it does not.
+    pub(crate) learning: Option<Learning>,
     /// Whether endpoints have changed since the tracked ones were chosen.
     pub(crate) remote_changed: bool,
     services: HashMap<Box<str>, ServiceKey>,
@@ -193,6 +192,9 @@
             && let Some(endpoint) = self.endpoints.get_mut(unanswered.endpoint)
         {
             endpoint.record_failure(now);
+            if self.learning.is_some() {
+                endpoint.record_unanswered(now);
+            }
         }
         let excluded = unanswered.map(|unanswered| unanswered.endpoint);
         self.update_shares(now, targets);
@@ -201,7 +203,17 @@
         };
         self.charge_opening(now, key);
         self.remove_flow(&flow);
-        self.insert_flow(flow, Flow::new(now, key));
+        if let (Some(learning), Some(endpoint)) = (&mut self.learning, self.endpoints.get(key)) {
+            learning.record_open(endpoint.service, flow.destination);
+        }
+        let opened = Flow::new(now, key);
+        self.insert_flow(
+            flow,
+            match former {
+                Some(_) => opened,
+                None => opened.with_opened_at(now),
+            },
+        );
         Ok(key)
     }
 
@@ -229,7 +241,7 @@
             return Err(Code::FlowEndpointGone);
         }
         let paused = self.paused(now);
-        if self.record(now, flow, key, progress) && repeatable && !paused {
+        if self.record(now, flow, key, progress, paused) && repeatable && !paused {
             self.remove_flow(&flow);
             return Err(Code::FlowEndpointUnreachable);
         }
@@ -313,33 +325,14 @@
         orphans
     }
 
-    /// Records a failure for endpoints that refuse flows: they answer faster than all others, look
-    /// idle, and would get every new flow until the stores miss their heartbeats.
-    fn record_refusals(&mut self, now: Duration) {
-        let congested_at = self.congested_at;
-        let endpoints = &mut self.endpoints;
-        for flow in self.flows.values_mut() {
-            if congested_at.is_some_and(|at| at >= flow.seen_at) {
-                continue;
-            }
-            let overdue = now.saturating_sub(flow.seen_at) >= ANSWER_TIMEOUT;
-            if flow.established || flow.closed || flow.refused || !overdue {
-                continue;
-            }
-            flow.refused = true;
-            match endpoints.get_mut(flow.endpoint) {
-                Some(endpoint) if !endpoint.answered_since(flow.seen_at) => {
-                    endpoint.record_failure(now)
-                }
-                Some(_) | None => {}
-            }
-        }
-    }
-
     /// Expires flows and pending requests; must be called a few times a second.
     pub fn tick(&mut self, now: Duration) {
         if !self.paused(now) {
             self.record_refusals(now);
+            self.record_overdue(now);
+        }
+        if let Some(learning) = &mut self.learning {
+            learning.sample_openings(now.saturating_sub(self.ticked_at));
         }
         self.sample_loads(now);
         self.ticked_at = now;
@@ -364,8 +357,9 @@
                 .request
                 .is_some_and(|request| now.saturating_sub(request.first_at) > REQUEST_TIMEOUT);
             if stuck && let Some(endpoint) = endpoints.get_mut(flow.endpoint) {
+                let counted = u32::from(flow.counted_request().is_some());
                 flow.request = None;
-                endpoint.own_load.busy = endpoint.own_load.busy.saturating_sub(1);
+                endpoint.own_load.busy = endpoint.own_load.busy.saturating_sub(counted);
             }
         }
     }
@@ -399,8 +393,12 @@
             in_use: existing.in_use,
             mean_busy: existing.mean_busy,
             tracked: existing.tracked,
+            observed: existing.observed,
             own_load: existing.own_load,
             presumed_until: existing.presumed_until,
+            own_performance: existing.own_performance,
+            poor: existing.poor,
+            shared_performance: existing.shared_performance,
             ..endpoint
         };
         if restarted || moved {
@@ -414,6 +412,9 @@
             existing.response_time = None;
             existing.mean_busy = MeanBusy::default();
             existing.own_load = Load::default();
+            existing.own_performance = Performance::default();
+            existing.observed = self.learning.is_some();
+            existing.shared_performance = Performance::default();
             self.flows.retain(|_, flow| flow.endpoint != key);
         }
         if former != service {
@@ -458,8 +459,10 @@
         };
         if let Some(endpoint) = self.endpoints.get_mut(flow.endpoint) {
             let own = &mut endpoint.own_load;
-            own.busy = own.busy.saturating_sub(u32::from(flow.request.is_some()));
-            own.flows = own.flows.saturating_sub(u32::from(!flow.closed));
+            own.busy = own
+                .busy
+                .saturating_sub(u32::from(flow.counted_request().is_some()));
+            own.flows = own.flows.saturating_sub(u32::from(flow.is_open()));
         }
     }
 
@@ -470,6 +473,7 @@
         key: FlowKey,
         endpoint: EndpointKey,
         progress: Progress,
+        paused: bool,
     ) -> bool {
         let tracked = self.flows.get(&key);
         if tracked.is_none_or(|flow| flow.endpoint != endpoint) {
@@ -483,7 +487,9 @@
                     now,
                     sampled: self.ticked_at,
                 };
-                flow.record(times, endpoint, progress)
+                let learning = self.learning.as_mut().filter(|_| !paused);
+                let learning = learning.map(|learning| (learning, key.destination));
+                flow.record(times, endpoint, progress, learning)
             }
             _ => false,
         }
