--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -133,6 +133,7 @@
     /// Endpoints whose state has changed and whose record the entry has.
     pub states: Vec<StateChange>,
     /// The terms of the document, if there is one.
+    #[serde(deserialize_with = "or_default")]
     pub terms: Option<Terms>,
     /// The evacuated data centres, if they have changed.
     #[serde(deserialize_with = "or_default")]
