--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -59,6 +59,9 @@
 mod terms;
 mod trailing;
 mod view;
+mod view_endpoints;
+mod view_packets;
+mod view_routes;
 mod view_warmup;
 mod warmup_metrics;
 
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -12,37 +12,19 @@
 
 use announcements::{
     Digest,
-    Record,
-    Registry,
-    State, //
-};
-use codes::Code;
-use egress::{
-    Class,
-    PacketKey, //
+    Registry, //
 };
 use placement::{
     Assessment,
-    Endpoint,
-    EndpointKey,
-    FlowKey,
-    MeanLoad,
     Phase,
     Pool,
-    Progress,
-    Reference,
-    Target, //
+    Reference, //
 };
 use rand::Rng;
 use store::Evacuated;
 
 use crate::{
-    adapter::{
-        Packet,
-        PacketKind, //
-    },
     centre_entries::CentreEntries,
-    document::Document,
     endpoint_performance::EndpointPerformance,
     load_delta::LoadDelta,
     locality::Locality,
@@ -51,7 +33,7 @@
         EndpointLoad,
         Push, //
     },
-    terms::RouteTerms,
+    view_routes::RouteTargets, //
 };
 
 /// Stores that an entry follows at once: one of them may be partitioned off without detecting it.
@@ -69,9 +51,6 @@
 /// Interval at which expired records are searched for; they were kept for minutes by then.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Class of the requests of a route whose terms are not known.
-const UNKNOWN_CLASS: Class = Class::Request { priority: 0 };
-
 /// State of one followed store.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Source {
@@ -80,21 +59,9 @@
     /// The entries that it knows.
     pub(crate) entries: Vec<CentreEntries>,
     /// Whether the store is followed now.
-    followed: bool,
+    pub(crate) followed: bool,
     /// Endpoints whose heartbeats it no longer receives.
-    silent: BTreeSet<Box<str>>,
-}
-
-/// Targets of a route.
-#[derive(Clone, Debug)]
-struct RouteTargets {
-    /// Class of its requests on a link.
-    class: Class,
-    /// Latency objective of its requests.
-    objective: Option<Duration>,
-    /// Whether the route's requests may be retried after any failure.
-    repeatable: bool,
-    targets: Box<[Target]>,
+    pub(crate) silent: BTreeSet<Box<str>>,
 }
 
 /// An entry's view of routes and endpoints.
@@ -103,31 +70,31 @@
     /// Whether a store has sent its whole state since the start.
     complete: bool,
     /// Whether a store that was up to date with a quorum has sent its whole state since the start.
-    confirmed: bool,
+    pub(crate) confirmed: bool,
     /// When the first document arrived.
     document_since: Option<Duration>,
     /// The evacuated data centres.
-    evacuated: Evacuated,
+    pub(crate) evacuated: Evacuated,
     /// When the registry was last searched for expired records.
     expired_at: Duration,
     /// When all running endpoints must have been announced.
-    learning_until: Duration,
+    pub(crate) learning_until: Duration,
     /// The entry's data centre, and the regions.
-    locality: Locality,
+    pub(crate) locality: Locality,
     /// The endpoints and flows.
     pub(crate) pool: Pool,
     /// Announcement records; prevents older records from replacing later ones.
-    registry: Registry,
+    pub(crate) registry: Registry,
     /// The loads that were last reported to the store in [`LOAD_SLOT`].
-    reported: LoadDelta,
-    routes: HashMap<SocketAddrV4, RouteTargets>,
+    pub(crate) reported: LoadDelta,
+    pub(crate) routes: HashMap<SocketAddrV4, RouteTargets>,
     pub(crate) sources: [Source; FOLLOWED_STORES],
     /// References of the endpoints of other data centres whose loads this entry tracks.
     tracked: Rc<[u32]>,
     /// Changes of endpoints that this entry did not know as the store assumed.
     unknown_changes: u64,
     /// Version of the document in force; 0 if there is none.
-    version: u64,
+    pub(crate) version: u64,
 }
 
 impl View {
@@ -228,7 +195,7 @@
     /// Whether flows may be placed by the current document. After a total power loss, or in a
     /// partitioned data centre, no store may have a quorum for long; clients are then served by the
     /// last document known to be in force.
-    fn accepts_flows(&self, now: Duration) -> bool {
+    pub(crate) fn accepts_flows(&self, now: Duration) -> bool {
         let waited = |since| now.saturating_sub(since) >= CONFIRMATION_TIMEOUT;
         self.confirmed || self.document_since.is_some_and(waited)
     }
@@ -341,87 +308,6 @@
         }
     }
 
-    /// Finds the endpoint to forward a packet to.
-    ///
-    /// # Errors
-    ///
-    /// [`Code::EntryStarting`] if its route or endpoint may not be known yet: the client will send
-    /// a copy soon. [`Code::PacketAddress`] if no route has the packet's destination, and the
-    /// errors of the pool.
-    pub fn route(
-        &mut self,
-        now: Duration,
-        packet: &Packet,
-        random: &mut impl Rng,
-    ) -> Result<EndpointKey, Code> {
-        match packet.kind {
-            PacketKind::Established => {
-                let route = self.routes.get(&packet.flow.destination);
-                let repeatable = route.is_some_and(|route| route.repeatable);
-                let (flow, progress) = (packet.flow, packet.progress);
-                self.pool
-                    .lookup(now, flow, packet.reference, progress, repeatable)
-            }
-            PacketKind::Open(_) if !self.accepts_flows(now) => Err(Code::EntryStarting),
-            PacketKind::Open(_) => {
-                let FlowKey { destination, .. } = packet.flow;
-                let unknown = match self.confirmed {
-                    true => Code::PacketAddress,
-                    // A later document may have the route.
-                    false => Code::EntryStarting,
-                };
-                let route = self.routes.get(&destination).ok_or(unknown)?;
-                let targets = &route.targets;
-                match self.pool.open(now, packet.flow, targets, random) {
-                    Err(Code::FlowNoEndpoint | Code::FlowSlowStart)
-                        if now < self.learning_until =>
-                    {
-                        Err(Code::EntryStarting)
-                    }
-                    result => result,
-                }
-            }
-        }
-    }
-
-    /// Class of the requests of a flow's route.
-    pub fn class(&self, flow: &FlowKey) -> Class {
-        let route = self.routes.get(&flow.destination);
-        route.map_or(UNKNOWN_CLASS, |route| route.class)
-    }
-
-    /// Latency objective of the requests of a flow's route, if it has one.
-    pub fn objective(&self, flow: &FlowKey) -> Option<Duration> {
-        self.routes.get(&flow.destination)?.objective
-    }
-
-    /// Records when packets last waited long for the link.
-    pub const fn record_congestion(&mut self, at: Duration) {
-        self.pool.record_congestion(at);
-    }
-
-    /// Records that a packet that waited for the link has left.
-    pub fn record_departure(&mut self, now: Duration, key: PacketKey) {
-        self.pool.record_departure(now, key.flow, key.sequence);
-    }
-
-    /// Removes idle flows whose endpoint has left or is unreachable, and returns packets to reset
-    /// them.
-    pub fn orphans(&mut self, now: Duration) -> Vec<Packet> {
-        let orphans = self.pool.orphans(now).into_iter();
-        orphans
-            .map(|(flow, acknowledged)| Packet {
-                flow,
-                kind: PacketKind::Established,
-                progress: Progress {
-                    acknowledged,
-                    ..Progress::default()
-                },
-                reference: None,
-            })
-            .collect()
-    }
-
     /// References of the endpoints of other data centres whose loads this entry tracks.
     pub fn tracked(&self) -> Rc<[u32]> {
         self.tracked.clone()
@@ -454,138 +340,4 @@
     pub fn assess(&mut self, now: Duration) -> Vec<Assessment> {
         self.pool.assess(now)
     }
-
-    fn apply_document(&mut self, document: &Document) {
-        self.version = document.version;
-        let pool = &mut self.pool;
-        let keys: Vec<_> = document
-            .services
-            .iter()
-            .map(|name| pool.service(name))
-            .collect();
-        let services = keys.iter().copied().zip(&document.terms.services);
-        pool.set_warmup_rates(services.map(|(key, terms)| (key, terms.warmup_rate)));
-        let terms = document.terms.routes.iter().map(Some);
-        let terms = terms.chain(std::iter::repeat(None));
-        self.routes = document
-            .routes
-            .iter()
-            .zip(terms)
-            .map(|(route, terms)| {
-                let homes = terms.into_iter().flat_map(|terms| &terms.homes);
-                let homes = pool.homes(homes.map(|region| &**region));
-                let shares = route.shares.iter();
-                let targets = shares.filter_map(|share| {
-                    let service = *keys.get(usize::from(share.service))?;
-                    Some(Target::new(service, share.weight).with_homes(homes))
-                });
-                let route_targets = RouteTargets {
-                    class: terms.map_or(UNKNOWN_CLASS, route_class),
-                    objective: terms.and_then(route_objective),
-                    repeatable: route.repeatable,
-                    targets: targets.collect(),
-                };
-                (route.address, route_targets)
-            })
-            .collect();
-    }
-
-    /// Puts the evacuated data centres of a store in force, unless later ones are: the store may lag.
-    fn apply_evacuated(&mut self, now: Duration, evacuated: Evacuated) {
-        if evacuated.revision <= self.evacuated.revision {
-            return;
-        }
-        for known in self.registry.iter() {
-            let centre = &known.announcement.centre;
-            let barred = evacuated.contains(centre);
-            if barred != self.evacuated.contains(centre) {
-                self.pool.set_barred(&known.announcement.name, barred);
-            }
-        }
-        let former = std::mem::replace(&mut self.evacuated, evacuated);
-        for centre in former.centres.difference(&self.evacuated.centres) {
-            let centre = self.pool.centre(centre);
-            self.pool.presume_slow(now, centre);
-        }
-    }
-
-    fn merge_record(&mut self, now: Duration, slot: usize, record: Record) {
-        let name = record.announcement.name.clone();
-        let silent = record.silent;
-        self.registry.merge(now, record);
-        self.set_silent(slot, &name, silent);
-    }
-
-    fn set_silent(&mut self, slot: usize, name: &str, silent: bool) {
-        if let Some(source) = self.sources.get_mut(slot) {
-            match silent {
-                true => source.silent.insert(name.into()),
-                false => source.silent.remove(name),
-            };
-        }
-    }
-
-    /// Updates the pool from the registry's record of an endpoint.
-    fn update_endpoint(&mut self, now: Duration, name: &str, tag: impl Fn(&str) -> Option<u64>) {
-        let Some(known) = self.registry.get(name) else {
-            return;
-        };
-        let mut followed = self.sources.iter().filter(|source| source.followed);
-        let responsive =
-            followed.clone().count() == 0 || followed.any(|source| !source.silent.contains(name));
-        let phase = match known.announcement.state {
-            _ if known.departed => Phase::Gone,
-            State::Draining => Phase::Draining,
-            State::Ready if responsive => Phase::Ready,
-            State::Ready => Phase::Silent,
-        };
-        let announcement = &known.announcement;
-        let service = self.pool.service(&announcement.service);
-        let centre = self.pool.centre(&announcement.centre);
-        let region = self.locality.region(&announcement.centre);
-        let region = region.map(|region| self.pool.region(region));
-        let endpoint = Endpoint::new(
-            name,
-            announcement.incarnation,
-            announcement.address,
-            service,
-        )
-        .with_barred(self.evacuated.contains(&announcement.centre))
-        .with_phase(phase)
-        .with_slots(announcement.slots)
-        .with_tag(tag(name).unwrap_or_default())
-        .with_slow_until(now + known.slow_start(now))
-        .with_centre(centre)
-        .with_region(region);
-        let distance = self.locality.distance(&announcement.centre);
-        self.pool.update(endpoint.with_distance(distance));
-    }
-
-    /// Updates the load of an endpoint by other entries from the sum over all entries.
-    fn update_load(&mut self, total: EndpointLoad) {
-        let own = self.reported.sent(total.reference);
-        if let Some(reference) = Reference::from_number(total.reference) {
-            let busy = u16::try_from(total.busy.saturating_sub(own.busy)).unwrap_or(u16::MAX);
-            let load = MeanLoad {
-                busy: f32::from(busy) / f32::from(BUSY_UNITS),
-                flows: total.flows.saturating_sub(own.flows),
-            };
-            self.pool.set_external_load(reference, load);
-        }
-    }
-}
-
-/// Class of the requests of a route on a link.
-fn route_class(terms: &RouteTerms) -> Class {
-    match terms.bulk {
-        true => Class::Bulk,
-        false => Class::Request {
-            priority: terms.priority,
-        },
-    }
-}
-
-/// Latency objective of a route's requests.
-fn route_objective(terms: &RouteTerms) -> Option<Duration> {
-    (terms.objective > 0).then(|| Duration::from_millis(terms.objective.into()))
 }
--- a/crates/placement/src/learning.rs
+++ b/crates/placement/src/learning.rs
@@ -9,7 +9,7 @@
 use slotmap::SecondaryMap;
 
 use crate::{
-    congestion::congestion,
+    crowding::relative_time,
     distance::Distance,
     endpoint::{
         Endpoint,
@@ -146,7 +146,7 @@
         }
         let time = now.saturating_sub(request.last_at).as_secs_f64() - travel;
         let crowding = f64::from(request.crowding);
-        let work = time.max(0.0) / congestion(crowding);
+        let work = time.max(0.0) / relative_time(crowding);
         let known = self.kinds.entry(kind).or_default();
         if work < known.mean * MIN_SAMPLE {
             return;
--- a/crates/placement/src/learnt_selection.rs
+++ b/crates/placement/src/learnt_selection.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use crate::{
-    congestion::marginal_time,
+    crowding::marginal_time,
     distance::Distance,
     endpoint::Endpoint,
     performance::Level,
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -7,7 +7,7 @@
 
 mod allowance;
 mod assessment;
-mod congestion;
+mod crowding;
 mod distance;
 mod endpoint;
 mod flow;
@@ -18,8 +18,11 @@
 mod performance;
 mod places;
 mod pool;
+mod pool_congestion;
+mod pool_endpoints;
 mod pool_failures;
 mod pool_loads;
+mod pool_names;
 mod pool_performance;
 mod pool_selection;
 mod pool_warmup;
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -11,7 +11,6 @@
 };
 
 use crate::{
-    allowance::Allowance,
     endpoint::{
         Endpoint,
         EndpointKey,
@@ -24,17 +23,7 @@
         Times, //
     },
     learning::Learning,
-    load::{
-        Load,
-        MeanBusy, //
-    },
-    performance::Performance,
-    places::{
-        CentreKey,
-        HomesKey,
-        Places,
-        RegionKey, //
-    },
+    places::Places,
     reference::Reference,
     request::Progress,
     sharers::Sharers,
@@ -65,7 +54,7 @@
     pub(crate) endpoints: SlotMap<EndpointKey, Endpoint>,
     pub(crate) flows: HashMap<FlowKey, Flow>,
     pub(crate) members: SecondaryMap<ServiceKey, Vec<EndpointKey>>,
-    names: HashMap<Box<str>, EndpointKey>,
+    pub(crate) names: HashMap<Box<str>, EndpointKey>,
     pub(crate) places: Places,
     pub(crate) references: HashMap<Reference, EndpointKey>,
     /// When packets last waited long for this entry's link.
@@ -76,14 +65,14 @@
     pub(crate) learning: Option<Learning>,
     /// Whether endpoints have changed since the tracked ones were chosen.
     pub(crate) remote_changed: bool,
-    services: HashMap<Box<str>, ServiceKey>,
+    pub(crate) services: HashMap<Box<str>, ServiceKey>,
     /// The entries that share the rates of slow starts.
     pub(crate) sharers: Sharers,
     /// Until when observations are ignored because the process was paused.
     paused_until: Duration,
     /// Time of the last tick.
     pub(crate) ticked_at: Duration,
-    service_names: SlotMap<ServiceKey, Box<str>>,
+    pub(crate) service_names: SlotMap<ServiceKey, Box<str>>,
     pub(crate) warmup_count: WarmupCount,
     /// New flows a second that an endpoint of a service bears during its slow start.
     pub(crate) warmup_rates: SecondaryMap<ServiceKey, f32>,
@@ -95,73 +84,6 @@
         Self::default()
     }
 
-    /// The key of a service, which is added if it is new.
-    pub fn service(&mut self, name: &str) -> ServiceKey {
-        if let Some(key) = self.services.get(name) {
-            return *key;
-        }
-        let key = self.service_names.insert(name.into());
-        self.members.insert(key, Vec::new());
-        self.services.insert(name.into(), key);
-        key
-    }
-
-    /// The name of a service.
-    pub fn service_name(&self, key: ServiceKey) -> Option<&str> {
-        self.service_names.get(key).map(|name| &**name)
-    }
-
-    /// The key of a data centre, which is added if it is new.
-    pub fn centre(&mut self, name: &str) -> CentreKey {
-        self.places.centre(name)
-    }
-
-    /// The key of a region, which is added if it is new.
-    pub fn region(&mut self, name: &str) -> RegionKey {
-        self.places.region(name)
-    }
-
-    /// The key of the regions in which a route's requests may run; none if they may run in all.
-    pub fn homes<'a>(&mut self, regions: impl Iterator<Item = &'a str>) -> Option<HomesKey> {
-        self.places.homes(regions)
-    }
-
-    /// Inserts or updates an endpoint. Its observed load and health are kept unless it has
-    /// restarted.
-    pub fn update(&mut self, endpoint: Endpoint) {
-        self.remote_changed = true;
-        match self.names.get(&endpoint.name).copied() {
-            Some(key) => self.replace(key, endpoint),
-            None => self.insert(endpoint),
-        }
-    }
-
-    /// Bars an endpoint from new flows, or admits it again. Its flows go on.
-    pub fn set_barred(&mut self, name: &str, barred: bool) {
-        let key = self.names.get(name);
-        if let Some(endpoint) = key.and_then(|key| self.endpoints.get_mut(*key)) {
-            endpoint.barred = barred;
-            self.remote_changed = true;
-        }
-    }
-
-    /// Removes an endpoint whose announcement has expired.
-    pub fn remove_endpoint(&mut self, name: &str) {
-        let Some(key) = self.names.remove(name) else {
-            return;
-        };
-        let Some(endpoint) = self.endpoints.remove(key) else {
-            return;
-        };
-        if let Some(members) = self.members.get_mut(endpoint.service) {
-            members.retain(|other| *other != key);
-        }
-        if self.references.get(&endpoint.reference) == Some(&key) {
-            self.references.remove(&endpoint.reference);
-            self.assign_reference(endpoint.reference);
-        }
-    }
-
     /// Selects an endpoint for the opening packet of a flow, or for a copy of it.
     ///
     /// A copy means that the endpoint did not answer the previous packet, so another one is
@@ -253,25 +175,6 @@
         self.flows.contains_key(flow)
     }
 
-    /// Records when packets last waited long for this entry's link: what was sent up to then and
-    /// not answered says nothing of its endpoint.
-    pub const fn record_congestion(&mut self, at: Duration) {
-        self.congested_at = Some(at);
-    }
-
-    /// Whether packets have waited long for this entry's link since `then`.
-    fn congested_since(&self, then: Duration) -> bool {
-        self.congested_at.is_some_and(|at| at >= then)
-    }
-
-    /// Records that a packet of a flow has left after it waited for the link: what its endpoint did
-    /// not answer meanwhile says nothing of that endpoint.
-    pub fn record_departure(&mut self, now: Duration, key: FlowKey, sequence: u32) {
-        if let Some(flow) = self.flows.get_mut(&key) {
-            flow.record_departure(now, sequence);
-        }
-    }
-
     /// The endpoint with a key.
     pub fn get(&self, key: EndpointKey) -> Option<&Endpoint> {
         self.endpoints.get(key)
@@ -364,82 +267,6 @@
         }
     }
 
-    fn insert(&mut self, endpoint: Endpoint) {
-        let (name, reference) = (endpoint.name.clone(), endpoint.reference);
-        let service = endpoint.service;
-        let key = self.endpoints.insert(endpoint);
-        self.names.insert(name, key);
-        if let Some(members) = self.members.get_mut(service) {
-            members.push(key);
-        }
-        self.assign_reference(reference);
-    }
-
-    fn replace(&mut self, key: EndpointKey, endpoint: Endpoint) {
-        let Some(existing) = self.endpoints.get_mut(key) else {
-            return;
-        };
-        let restarted = existing.incarnation != endpoint.incarnation;
-        let former = existing.service;
-        let service = endpoint.service;
-        let moved = existing.centre != endpoint.centre;
-        *existing = Endpoint {
-            allowance: existing.allowance,
-            backoff: existing.backoff,
-            unreachable_at: existing.unreachable_at,
-            answered_at: existing.answered_at,
-            response_time: existing.response_time,
-            external_load: existing.external_load,
-            in_use: existing.in_use,
-            mean_busy: existing.mean_busy,
-            tracked: existing.tracked,
-            observed: existing.observed,
-            own_load: existing.own_load,
-            presumed_until: existing.presumed_until,
-            own_performance: existing.own_performance,
-            poor: existing.poor,
-            shared_performance: existing.shared_performance,
-            ..endpoint
-        };
-        if restarted || moved {
-            existing.allowance = Allowance::new();
-        }
-        if restarted {
-            existing.presumed_until = Duration::ZERO;
-            existing.backoff = (Duration::ZERO, 0);
-            existing.unreachable_at = None;
-            existing.answered_at = None;
-            existing.response_time = None;
-            existing.mean_busy = MeanBusy::default();
-            existing.own_load = Load::default();
-            existing.own_performance = Performance::default();
-            existing.observed = self.learning.is_some();
-            existing.shared_performance = Performance::default();
-            self.flows.retain(|_, flow| flow.endpoint != key);
-        }
-        if former != service {
-            if let Some(members) = self.members.get_mut(former) {
-                members.retain(|other| *other != key);
-            }
-            if let Some(members) = self.members.get_mut(service) {
-                members.push(key);
-            }
-        }
-    }
-
-    /// Assigns a reference that several endpoints share to one of them; all entries select the same
-    /// one. The others get no flows while that one is known.
-    fn assign_reference(&mut self, reference: Reference) {
-        let candidates = self
-            .endpoints
-            .iter()
-            .filter(|(_, endpoint)| endpoint.reference == reference);
-        let first = candidates.min_by_key(|(_, endpoint)| (endpoint.incarnation, &endpoint.name));
-        if let Some((key, _)) = first {
-            self.references.insert(reference, key);
-        }
-    }
-
     fn insert_flow(&mut self, key: FlowKey, flow: Flow) {
         if self.flows.len() >= MAX_FLOWS {
             return;
