Test of what entries presume at the end of an evacuation; pushes of earlier versions lack up to four fields

Cause: the end of an evacuation let its endpoints count as cold without a test; the test of an earlier version's push left out one byte, which was another field's since the parts were joined. Without the call, warmup_evacuation_ends fails; the other test now leaves out each field in turn.

--- a/crates/edge/src/view_endpoints.rs
+++ b/crates/edge/src/view_endpoints.rs
@@ -36,9 +36,9 @@
             }
         }
         let former = std::mem::replace(&mut self.evacuated, evacuated);
-        for centre in former.centres.difference(&self.evacuated.centres) {
-            let centre = self.pool.centre(centre);
-            self.pool.presume_slow(now, centre);
+        let ended = former.centres.difference(&self.evacuated.centres).cloned();
+        for centre in ended.collect::<Vec<_>>() {
+            self.presume_slow(now, &centre);
         }
     }
 
--- a/crates/edge/tests/warmup.rs
+++ b/crates/edge/tests/warmup.rs
@@ -34,6 +34,10 @@
 };
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
+use store::{
+    Evacuated,
+    Revision, //
+};
 
 fn at(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -178,6 +182,26 @@
     assert_eq!(harness.open(7_200), Err(Code::FlowSlowStart));
 }
 
+/// A store tells of the end of an evacuation: flows are limited until the endpoints can have said
+/// that they are cold.
+#[test]
+fn warmup_evacuation_ends() {
+    let mut harness = Harness::new(document(2.0, &[]));
+    harness.keep(7_000);
+    harness.apply(7_000, |push| push.records = vec![record("i-1", "a", 1, 0)]);
+    let mut evacuated = Evacuated {
+        centres: [Box::from("a")].into(),
+        revision: Revision(1),
+    };
+    harness.apply(7_100, |push| push.evacuated = Some(evacuated.clone()));
+    assert_eq!(harness.open(7_200), Err(Code::FlowNoEndpoint));
+    evacuated.centres.clear();
+    evacuated.revision = Revision(2);
+    harness.apply(7_300, |push| push.evacuated = Some(evacuated));
+    assert!(harness.open(7_400).is_ok());
+    assert_eq!(harness.open(7_500), Err(Code::FlowSlowStart));
+}
+
 /// An entry that has lost its stores, or follows one without a quorum, leaves the rates to others.
 #[test]
 fn warmup_no_quorum() {
@@ -238,11 +262,15 @@
     assert_eq!(known.located(), [located("b", &[2])]);
 }
 
-/// A store of an earlier version sends no entries.
+/// Stores of earlier versions send fewer of the fields at the end: terms, evacuated data centres,
+/// entries and performance, of a byte each if there is nothing to say.
 #[test]
 fn push_of_earlier_version() {
     let bytes = postcard::to_stdvec(&Push::default()).unwrap();
-    let earlier = bytes.get(..bytes.len() - 1).unwrap();
-    let push: Push = postcard::from_bytes(earlier).unwrap();
-    assert!(push.entries.is_none());
+    for missing in 0..=4 {
+        let earlier = bytes.get(..bytes.len() - missing).unwrap();
+        let push: Push = postcard::from_bytes(earlier).unwrap();
+        assert!(push.terms.is_none() && push.evacuated.is_none());
+        assert!(push.entries.is_none() && push.performance.is_empty());
+    }
 }
