Gauges of parts that are off cost no pass over the endpoints

Four times a second an entry went over all endpoints three times more, for gauges of learning and of slow starts, also where neither is switched on. Change: these gauges are taken only where they are.

--- a/crates/edge/src/run_entry.rs
+++ b/crates/edge/src/run_entry.rs
@@ -153,10 +153,12 @@
         .warmup
         .update(pool.warmup_count(), pool.limited(now));
     metrics.evacuations.set(view.evacuated());
-    let known = pool.iter().filter(|endpoint| endpoint.is_known(now));
-    metrics.performance.known.set(gauge(known.count()));
-    let poor = pool.iter().filter(|endpoint| endpoint.is_poor());
-    metrics.performance.poor.set(gauge(poor.count()));
+    if entry.settings.learn {
+        let known = pool.iter().filter(|endpoint| endpoint.is_known(now));
+        metrics.performance.known.set(gauge(known.count()));
+        let poor = pool.iter().filter(|endpoint| endpoint.is_poor());
+        metrics.performance.poor.set(gauge(poor.count()));
+    }
     let [mut draining, mut gone, mut ready, mut silent] = [0; 4];
     for endpoint in view.pool().iter() {
         match endpoint.phase {
--- a/crates/placement/src/pool_warmup.rs
+++ b/crates/placement/src/pool_warmup.rs
@@ -67,6 +67,9 @@
     /// Endpoints to which new flows are limited now, and this entry's shares of their rates
     /// together, in flows a second.
     pub fn limited(&self, now: Duration) -> (usize, f32) {
+        if self.warmup_rates.is_empty() {
+            return (0, 0.0);
+        }
         let limited = self.iter().filter(|endpoint| self.limits(now, endpoint));
         limited.fold((0, 0.0), |(count, sum), endpoint| {
             (count + 1, sum + endpoint.allowance.share())
