--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -16,6 +16,7 @@
         StoreLocation, //
     },
     state::StoreState,
+    terms::Terms, //
 };
 
 /// Interval of keepalives to an entry.
@@ -69,7 +70,8 @@
     pub fn next(&mut self, state: &StoreState, now: Duration) -> Option<Push> {
         let page = {
             let registry = state.registry.borrow();
-            let lacks = |known: &_| self.follower.lacks(known);
+            let limited = limits_slow_starts(state);
+            let lacks = |known: &_| self.follower.lacks(known, limited);
             registry.changed_page(now, self.cursor, MAX_RECORDS, lacks)
         };
         self.cursor.advance(&page);
@@ -125,9 +127,7 @@
 
     /// All entries, if they have changed and share the rate of a service's endpoints.
     fn changed_entries(&mut self, state: &StoreState) -> Option<Vec<CentreEntries>> {
-        let document = state.document.borrow();
-        let services = document.as_ref().map(|document| &document.terms.services)?;
-        if services.iter().all(|service| service.warmup_rate <= 0.0) {
+        if !limits_slow_starts(state) {
             return None;
         }
         let entries = state.entries.borrow().located();
@@ -136,6 +136,13 @@
     }
 }
 
+/// Whether the document limits the new flows to endpoints in their slow start.
+fn limits_slow_starts(state: &StoreState) -> bool {
+    let document = state.document.borrow();
+    let terms = document.as_ref().map(|document| &document.terms);
+    terms.is_some_and(Terms::limit_slow_starts)
+}
+
 /// The list if it differs from the last one, which it replaces; else an empty one.
 fn if_changed<T: Clone + PartialEq>(last: &mut Vec<T>, list: Vec<T>) -> Vec<T> {
     if *last == list {
--- a/crates/edge/src/follower.rs
+++ b/crates/edge/src/follower.rs
@@ -95,7 +95,10 @@
     }
 
     /// What it may lack of an endpoint's record, by what it knew when it connected.
-    pub fn lacks(&self, endpoint: &KnownEndpoint) -> Lack {
+    ///
+    /// If slow starts are limited, it may lack that of an endpoint that it knows: digests don't tell
+    /// whether one has begun again.
+    pub fn lacks(&self, endpoint: &KnownEndpoint, limited: bool) -> Lack {
         let Known {
             follower,
             store,
@@ -103,8 +106,7 @@
         } = &self.known;
         match store.matches(follower, &endpoint.announcement.name) {
             _ if self.key.is_none() => Lack::Record,
-            // Digests don't tell whether a slow start has begun again.
-            true if endpoint.announcement.warmup > 0 => Lack::Everything,
+            true if limited && endpoint.announcement.warmup > 0 => Lack::Everything,
             true if endpoint.entry_change() <= *upto => Lack::Nothing,
             true if endpoint.base_change() <= *upto => Lack::State,
             true | false => Lack::Everything,
--- a/crates/edge/src/terms.rs
+++ b/crates/edge/src/terms.rs
@@ -39,3 +39,11 @@
     /// The services' terms.
     pub services: Box<[ServiceTerms]>,
 }
+
+impl Terms {
+    /// Whether any service limits the new flows to its endpoints in their slow start.
+    pub fn limit_slow_starts(&self) -> bool {
+        let mut services = self.services.iter();
+        services.any(|service| service.warmup_rate > 0.0)
+    }
+}
--- a/crates/edge/tests/follower.rs
+++ b/crates/edge/tests/follower.rs
@@ -136,7 +136,9 @@
     let digest = Digest::new(registry.iter(), |_| false);
     let key = StoreLoads::new().add_follower("entry-1");
     let follower = Follower::new("a".into(), Some(key)).with_known(digest, &registry);
-    let lack = |name: &str| follower.lacks(registry.get(name).unwrap());
-    assert_eq!(lack("i-1"), Lack::Nothing);
-    assert_eq!(lack("i-2"), Lack::Everything);
+    let lack = |name: &str, limited| follower.lacks(registry.get(name).unwrap(), limited);
+    assert_eq!(lack("i-1", true), Lack::Nothing);
+    assert_eq!(lack("i-2", true), Lack::Everything);
+    // Where nothing is limited, it is not worth its bytes.
+    assert_eq!(lack("i-2", false), Lack::Nothing);
 }
