--- a/crates/store/src/election.rs
+++ b/crates/store/src/election.rs
@@ -1,6 +1,9 @@
 //! Elections.
 
-use std::collections::BTreeSet;
+use std::{
+    collections::BTreeSet,
+    time::Duration, //
+};
 
 use codes::Code;
 
@@ -157,6 +160,7 @@
 
     /// Becomes the leader and appends a blank entry, which commits the entries of earlier terms.
     fn become_leader(&mut self) {
+        let former = self.silent_leader();
         let synced = self.log.last().index;
         let start_index = self.append(Payload::Blank);
         self.leader = Some(self.id);
@@ -170,6 +174,21 @@
             synced,
         }));
         self.update_peers();
+        if let (Role::Leader(leader), Some((id, heard_at))) = (&mut self.role, former)
+            && let Some(peer) = leader.peers.get_mut(&id)
+        {
+            peer.last_contact = heard_at;
+        }
+    }
+
+    /// The last leader and the time of its last message, if it has not granted this candidate its
+    /// vote: it has been silent since then, not only since the election.
+    fn silent_leader(&self) -> Option<(StoreId, Duration)> {
+        let silent = |id: &StoreId| match &self.role {
+            Role::Candidate(votes) => !votes.contains(id),
+            Role::Follower | Role::Leader(_) | Role::PreCandidate(_) => false,
+        };
+        self.last_leader.filter(silent).zip(self.last_contact)
     }
 
     /// Adds and removes [`Peer`]s so that there is one for each other member in effect.
--- a/crates/store/src/follower.rs
+++ b/crates/store/src/follower.rs
@@ -107,6 +107,7 @@
     fn accept_leader(&mut self, leader: StoreId) {
         self.become_follower(self.ballot.term, Some(leader));
         self.last_contact = Some(self.now);
+        self.last_leader = Some(leader);
         self.reset_deadline();
     }
 
--- a/crates/store/src/raft.rs
+++ b/crates/store/src/raft.rs
@@ -71,6 +71,8 @@
     pub(crate) incoming_snapshot: Option<(Position, Vec<u8>)>,
     /// Time of the last message from a leader.
     pub(crate) last_contact: Option<Duration>,
+    /// The leader that sent it.
+    pub(crate) last_leader: Option<StoreId>,
     pub(crate) leader: Option<StoreId>,
     pub(crate) ledger: Ledger,
     pub(crate) log: Log,
@@ -114,6 +116,7 @@
             id,
             incoming_snapshot: None,
             last_contact: None,
+            last_leader: None,
             leader: None,
             ledger,
             log,
--- a/crates/store/src/timing.rs
+++ b/crates/store/src/timing.rs
@@ -16,8 +16,9 @@
     pub first_timeout: Duration,
     /// Interval between heartbeats of a leader.
     pub heartbeat_interval: Duration,
-    /// Time without a response after which the leader replaces a voter; applies only if `voters` is
-    /// set.
+    /// Time without a response after which the leader replaces a voter by a learner that has caught
+    /// up; applies only if `voters` is set. Longer than a store takes to restart, and short enough
+    /// that the replacement of a lost store votes before the next store may be lost.
     pub replacement_delay: Duration,
     /// Number of applied entries after which they are replaced by a snapshot.
     pub snapshot_entries: u64,
@@ -32,7 +33,7 @@
             election_timeout: Duration::from_millis(600),
             first_timeout: Duration::from_millis(30),
             heartbeat_interval: Duration::from_millis(100),
-            replacement_delay: Duration::from_secs(8),
+            replacement_delay: Duration::from_secs(2),
             snapshot_entries: 4096,
             voters: None,
         }
--- a/crates/store/src/voters.rs
+++ b/crates/store/src/voters.rs
@@ -2,6 +2,11 @@
 //!
 //! Each change affects one member and starts after the previous one is committed. Voters are spread
 //! over data centres, so that the loss of a whole data centre leaves a quorum wherever possible.
+//!
+//! A silent voter is removed before the learner that replaces it becomes a voter, so that the quorum
+//! never depends on the learner alone: a new store may be lost right after it has joined. A voter
+//! that responds is removed after its replacement became one, so that the number of voters that
+//! respond does not drop meanwhile.
 
 use std::time::Duration;
 
@@ -19,7 +24,7 @@
 };
 
 /// Number of replacement delays after which a silent learner is removed.
-const LEARNER_DELAY_FACTOR: u32 = 8;
+const LEARNER_DELAY_FACTOR: u32 = 32;
 
 impl Raft {
     /// Adds a store as a learner. If a member has the same name but another id, the store has lost
@@ -78,9 +83,11 @@
             (_, Some(learner), _) if voters().count() < wanted => {
                 Some(members.with_voter(learner.id))
             }
+            (Some(voter), Some(_), _) if voters().count() == wanted && silent_voter.is_some() => {
+                remove_member(members, voter.id).ok()
+            }
             (Some(voter), Some(learner), _)
-                if voters().count() == wanted
-                    && (silent_voter.is_some() || balances(learner, voter)) =>
+                if voters().count() == wanted && balances(learner, voter) =>
             {
                 Some(members.with_voter(learner.id))
             }
