--- a/crates/announcements/src/digest.rs
+++ b/crates/announcements/src/digest.rs
@@ -7,7 +7,7 @@
 
 use siphasher::sip::SipHasher13;
 
-use crate::registry::KnownEndpoint;
+use crate::known_endpoint::KnownEndpoint;
 
 /// Buckets of a digest: enough that a few changes among thousands of endpoints leave most buckets
 /// alike, few enough for one packet.
--- a/crates/announcements/src/lib.rs
+++ b/crates/announcements/src/lib.rs
@@ -5,9 +5,12 @@
 //! converge to the same state, in whatever order the records arrived. The registry does no I/O and
 //! has no clock: times are arguments and count from the start of the process.
 
+mod addresses;
 mod announcement;
 mod cursor;
+mod departure;
 mod digest;
+mod known_endpoint;
 mod page;
 mod rank;
 mod record;
@@ -21,12 +24,13 @@
         State, //
     },
     cursor::Cursor,
+    departure::Departure,
     digest::Digest,
+    known_endpoint::KnownEndpoint,
     page::Page,
     rank::Rank,
     record::Record,
     registry::{
-        KnownEndpoint,
         Lack,
         Registry,
         TOMBSTONE_RETENTION, //
--- a/crates/announcements/src/rank.rs
+++ b/crates/announcements/src/rank.rs
@@ -5,8 +5,8 @@
 pub struct Rank {
     /// A later incarnation replaces all records of an earlier one.
     pub incarnation: u64,
-    /// A departure is final for its incarnation.
-    pub departed: bool,
     /// A later announcement replaces an earlier one.
     pub sequence: u64,
+    /// The end of an endpoint replaces its announcements up to the same sequence number.
+    pub departed: bool,
 }
--- a/crates/announcements/src/registry.rs
+++ b/crates/announcements/src/registry.rs
@@ -15,8 +15,11 @@
 use crate::{
     announcement::Announcement,
     cursor::Cursor,
+    known_endpoint::{
+        CLOCK_OFFSET,
+        KnownEndpoint, //
+    },
     page::Page,
-    rank::Rank,
     record::Record,
     renewal::Renewal,
     state_change::StateChange, //
@@ -26,88 +29,6 @@
 /// than any record of it may be delayed.
 pub const TOMBSTONE_RETENTION: Duration = Duration::from_secs(600);
 
-/// Offset added to every time, so that events before the start of the process have a time as well.
-const CLOCK_OFFSET: Duration = Duration::from_secs(3600);
-
-/// Time by which the end of a slow start must be later than the known one to count as another slow
-/// start: longer than announcements commonly take.
-const WARMUP_MARGIN: Duration = Duration::from_millis(500);
-
-/// State of one endpoint as known to a store.
-#[derive(Clone, Debug)]
-pub struct KnownEndpoint {
-    /// Last announcement of the endpoint.
-    pub announcement: Announcement,
-    /// Number of the last change of anything but its state.
-    base_change: u64,
-    /// Whether this incarnation of the endpoint has left.
-    pub departed: bool,
-    /// Whether its last announcement is older than the registry's timeout.
-    pub silent: bool,
-    /// Number of the last change that is sent to entries.
-    entry_change: u64,
-    /// Number of the last change that was no renewal.
-    full_change: u64,
-    /// Time of its last announcement, plus [`CLOCK_OFFSET`].
-    last_announced: Duration,
-    /// Number of the last change that is sent to other stores; a direct announcement is one, too.
-    store_change: u64,
-}
-
-impl KnownEndpoint {
-    /// Number of the last change of anything but its state.
-    pub const fn base_change(&self) -> u64 {
-        self.base_change
-    }
-
-    /// Number of the last change that is sent to entries.
-    pub const fn entry_change(&self) -> u64 {
-        self.entry_change
-    }
-
-    /// What is left of its slow start.
-    pub fn slow_start(&self, now: Duration) -> Duration {
-        self.slow_end().saturating_sub(now + CLOCK_OFFSET)
-    }
-
-    /// When its slow start ends, plus [`CLOCK_OFFSET`].
-    fn slow_end(&self) -> Duration {
-        self.last_announced + Duration::from_millis(u64::from(self.announcement.warmup))
-    }
-
-    /// What is left of its slow start at a time that includes [`CLOCK_OFFSET`], in milliseconds.
-    fn warmup_left(&self, now: Duration) -> u32 {
-        let left = self.slow_end().saturating_sub(now).as_millis();
-        u32::try_from(left).unwrap_or(u32::MAX)
-    }
-
-    /// Whether a record of it, announced at a time that includes [`CLOCK_OFFSET`], begins another
-    /// slow start: a running endpoint may lose what it had warmed up.
-    fn cools(&self, record: &Record, announced: Duration) -> bool {
-        let warmup = Duration::from_millis(u64::from(record.announcement.warmup));
-        !warmup.is_zero() && announced + warmup > self.slow_end() + WARMUP_MARGIN
-    }
-
-    /// Its record at a time that includes [`CLOCK_OFFSET`].
-    fn record(&self, now: Duration) -> Record {
-        let age = now.saturating_sub(self.last_announced).as_millis();
-        Record {
-            age: u32::try_from(age).unwrap_or(u32::MAX),
-            announcement: self.announcement.clone(),
-            departed: self.departed,
-            silent: self.silent,
-        }
-    }
-
-    fn rank(&self) -> Rank {
-        Rank {
-            incarnation: self.announcement.incarnation,
-            departed: self.departed,
-            sequence: self.announcement.sequence,
-        }
-    }
-}
-
 /// What an entry lacks of an endpoint's record.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Lack {
@@ -125,18 +46,22 @@
 #[derive(Clone, Debug)]
 pub struct Registry {
     /// Endpoint that owns each address: the one with the latest incarnation.
-    addresses: HashMap<SocketAddrV4, Box<str>>,
-    endpoints: BTreeMap<Box<str>, KnownEndpoint>,
+    pub(crate) addresses: HashMap<SocketAddrV4, Box<str>>,
+    pub(crate) endpoints: BTreeMap<Box<str>, KnownEndpoint>,
     /// Names of the endpoints, by the number of their last change that is sent to entries.
     entry_changes: BTreeMap<u64, Box<str>>,
     /// Names by their keys in renewals; none for a key that several names share.
     keys: HashMap<u32, Option<Box<str>>>,
     /// Number of the latest change; each accepted record is one, even a renewal.
     last_change: u64,
+    /// Since when announcements have arrived without a gap, plus [`CLOCK_OFFSET`].
+    pub(crate) observing_since: Duration,
     /// Names of the endpoints, by the number of their last change that is sent to other stores.
     store_changes: BTreeMap<u64, Box<str>>,
+    /// When silent endpoints were last looked for, plus [`CLOCK_OFFSET`].
+    pub(crate) ticked_at: Duration,
     /// Time without an announcement after which an endpoint counts as silent.
-    timeout: Duration,
+    pub(crate) timeout: Duration,
 }
 
 impl Registry {
@@ -149,7 +74,9 @@
             entry_changes: BTreeMap::new(),
             keys: HashMap::new(),
             last_change: 0,
+            observing_since: CLOCK_OFFSET,
             store_changes: BTreeMap::new(),
+            ticked_at: CLOCK_OFFSET,
             timeout,
         }
     }
@@ -166,49 +93,41 @@
         self.insert(now, record, true)
     }
 
-    /// Applies a departure, by default of the latest known incarnation. Returns the change's
-    /// number; none if the endpoint is unknown or a later incarnation has started.
-    pub fn depart(&mut self, now: Duration, name: &str, incarnation: Option<u64>) -> Option<u64> {
-        let known = self.endpoints.get(name)?;
-        let held = known.announcement.incarnation;
-        if incarnation.is_some_and(|incarnation| incarnation < held) {
-            return None;
-        }
-        let mut announcement = known.announcement.clone();
-        announcement.incarnation = incarnation.unwrap_or(held);
-        let record = Record {
-            age: 0,
-            announcement,
-            departed: true,
-            silent: false,
-        };
-        self.insert(now, record, true);
-        self.endpoints.get(name).map(|known| known.store_change)
-    }
-
     /// Applies a record from another store; returns whether it was newer than the known one.
     pub fn merge(&mut self, now: Duration, record: Record) -> bool {
         self.insert(now, record, false)
     }
 
-    /// Updates which endpoints are silent, and evicts departed or silent ones after
-    /// [`TOMBSTONE_RETENTION`]; returns whether any was evicted. To be called a few times a second.
-    pub fn tick(&mut self, now: Duration) -> bool {
+    /// Updates which endpoints are silent or have departed, and evicts departed or silent ones after [`TOMBSTONE_RETENTION`]; returns whether any was evicted. To be
+    /// called a few times a second. `connected` says whether announcements reach this store: others
+    /// would pass on what it does not receive itself.
+    pub fn tick(&mut self, now: Duration, connected: bool) -> bool {
         let now = now + CLOCK_OFFSET;
+        self.observe(now, connected);
+        self.update_silent(now);
+        self.settle_departures(now);
+        self.evict(now)
+    }
+
+    fn update_silent(&mut self, now: Duration) {
         let (timeout, mut last_change) = (self.timeout, self.last_change);
-        let (entry_changes, store_changes) = (&mut self.entry_changes, &mut self.store_changes);
         for (name, known) in &mut self.endpoints {
-            let silent = now.saturating_sub(known.last_announced) > timeout;
+            let silent = known.is_quiet(now, timeout);
             if silent != known.silent {
                 last_change += 1;
                 known.silent = silent;
-                renumber(entry_changes, &mut known.entry_change, last_change, name);
+                let number = &mut known.entry_change;
+                renumber(&mut self.entry_changes, number, last_change, name);
             }
         }
         self.last_change = last_change;
+    }
+
+    fn evict(&mut self, now: Duration) -> bool {
+        let (entry_changes, store_changes) = (&mut self.entry_changes, &mut self.store_changes);
         let count = self.endpoints.len();
         self.endpoints.retain(|_, known| {
-            let expired = now.saturating_sub(known.last_announced) > TOMBSTONE_RETENTION;
+            let expired = known.is_quiet(now, TOMBSTONE_RETENTION);
             let kept = !(expired && (known.departed || known.silent));
             if !kept {
                 entry_changes.remove(&known.entry_change);
@@ -229,6 +148,33 @@
         true
     }
 
+    /// Numbers a change of an endpoint that other stores and entries are told of.
+    pub(crate) fn record_change(&mut self, name: &str) {
+        self.last_change += 1;
+        let change = self.last_change;
+        if let Some(known) = self.endpoints.get_mut(name) {
+            known.full_change = change;
+            let number = &mut known.entry_change;
+            renumber(&mut self.entry_changes, number, change, name);
+            let number = &mut known.store_change;
+            renumber(&mut self.store_changes, number, change, name);
+        }
+    }
+
+    /// Updates whether an endpoint is silent, and numbers the change for entries if it is one.
+    pub(crate) fn refresh_silent(&mut self, now: Duration, name: &str) {
+        let Some(known) = self.endpoints.get_mut(name) else {
+            return;
+        };
+        let silent = known.is_quiet(now, self.timeout);
+        if silent != known.silent {
+            known.silent = silent;
+            self.last_change += 1;
+            let number = &mut known.entry_change;
+            renumber(&mut self.entry_changes, number, self.last_change, name);
+        }
+    }
+
     /// Number of the latest change.
     pub const fn last_change(&self) -> u64 {
         self.last_change
@@ -272,7 +218,8 @@
         self.page(now, &self.store_changes, cursor.sent(), limit, |_| true)
     }
 
-    /// Applies a renewal from another store; returns whether it was newer than the known record.
+    /// Applies a renewal from another store; returns whether it was newer than the known record. An
+    /// endpoint that renews its announcement after its departure has not left.
     pub fn renew(&mut self, now: Duration, renewal: Renewal) -> bool {
         let now = now + CLOCK_OFFSET;
         let name = self.keys.get(&renewal.key).and_then(Option::as_ref);
@@ -281,7 +228,7 @@
         };
         let announcement = &mut known.announcement;
         let same = incarnation_bits(announcement.incarnation) == renewal.incarnation;
-        if known.departed || !same || announcement.sequence >= renewal.sequence {
+        if !same || announcement.sequence >= renewal.sequence {
             return false;
         }
         announcement.sequence = renewal.sequence;
@@ -289,14 +236,11 @@
         let announced = known.last_announced.max(now.saturating_sub(age));
         known.announcement.warmup = known.warmup_left(announced);
         known.last_announced = announced;
-        let silent = now.saturating_sub(known.last_announced) > self.timeout;
-        if silent != known.silent {
-            known.silent = silent;
-            self.last_change += 1;
-            let name = known.announcement.name.clone();
-            let number = &mut known.entry_change;
-            renumber(&mut self.entry_changes, number, self.last_change, &name);
+        let name = known.announcement.name.clone();
+        if std::mem::take(&mut known.departed) {
+            self.record_change(&name);
         }
+        self.refresh_silent(now, &name);
         true
     }
 
@@ -381,7 +325,7 @@
         page
     }
 
-    fn insert(&mut self, now: Duration, mut record: Record, direct: bool) -> bool {
+    pub(crate) fn insert(&mut self, now: Duration, mut record: Record, direct: bool) -> bool {
         let now = now + CLOCK_OFFSET;
         let last_announced = now.saturating_sub(Duration::from_millis(u64::from(record.age)));
         record.departed |= self.superseded(&record);
@@ -407,17 +351,23 @@
             entry_change: 0,
             full_change: 0,
             departed,
+            departing_at: None,
             last_announced,
+            restarted: false,
             silent: false,
             store_change: 0,
         });
         if cools || !same_base(&known.announcement, &record.announcement) {
             known.base_change = last_change;
         }
+        if known.announcement.incarnation != record.announcement.incarnation {
+            known.restarted = true;
+            known.departing_at = None;
+        }
         known.announcement = record.announcement;
         known.departed = departed;
         known.last_announced = previous.max(last_announced);
-        let silent = now.saturating_sub(known.last_announced) > self.timeout;
+        let silent = known.is_quiet(now, self.timeout);
         if !renewal || known.silent != silent {
             let number = &mut known.entry_change;
             renumber(&mut self.entry_changes, number, last_change, &name);
@@ -475,50 +425,6 @@
             *indexed = None;
         }
     }
-
-    /// Whether a later endpoint owns the record's address, so that the record's endpoint has ended.
-    fn superseded(&self, record: &Record) -> bool {
-        let own = &record.announcement;
-        let owner = self
-            .addresses
-            .get(&own.address)
-            .filter(|name| **name != own.name)
-            .and_then(|name| self.endpoints.get(name));
-        owner.is_some_and(|owner| {
-            let other = &owner.announcement;
-            let later = (other.incarnation, &other.name) > (own.incarnation, &own.name);
-            other.address == own.address && later
-        })
-    }
-
-    /// Assigns an address to its new owner, and marks the previous owner as departed.
-    fn assign_address(&mut self, address: SocketAddrV4, name: &str) {
-        let former = self.addresses.insert(address, name.into());
-        let Some(former) = former.filter(|former| **former != *name) else {
-            return;
-        };
-        let Some(known) = self.endpoints.get_mut(&former) else {
-            return;
-        };
-        if known.announcement.address == address && !known.departed {
-            self.last_change += 1;
-            known.departed = true;
-            let change = self.last_change;
-            known.full_change = change;
-            renumber(
-                &mut self.entry_changes,
-                &mut known.entry_change,
-                change,
-                &former,
-            );
-            renumber(
-                &mut self.store_changes,
-                &mut known.store_change,
-                change,
-                &former,
-            );
-        }
-    }
 }
 
 /// Key of a name in renewals.
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -8,6 +8,7 @@
 
 use announcements::{
     Announcement,
+    Departure,
     State, //
 };
 use codes::Code;
@@ -165,17 +166,19 @@
     incarnation: Option<u64>,
 ) -> Result<Reply, Refusal> {
     let now = state.clock.now();
-    let known = state.registry.borrow().get(name).is_some();
-    if !known {
-        return Err((
-            Code::AnnouncementUnsafe,
-            "this store does not know it yet".into(),
-        ));
+    let departure = state.registry.borrow_mut().depart(now, name, incarnation);
+    log::info!(endpoint = name, incarnation, outcome = format!("{departure:?}"); "a departure");
+    match departure {
+        Departure::Applied(_) => {
+            state.notify();
+            wait_for_copies(state).await
+        }
+        Departure::Awaited | Departure::Outdated => Ok(Reply::Done),
+        Departure::Unknown => {
+            let advice = "announce that it drains first, or call another store";
+            Err((Code::DepartureUnknown, advice.into()))
+        }
     }
-    let change = state.registry.borrow_mut().depart(now, name, incarnation);
-    log::info!(endpoint = name, incarnation, change; "an endpoint has left");
-    state.notify();
-    wait_for_copies(state).await
 }
 
 /// Waits until enough other stores have acknowledged all changes: they then survive the tolerated
--- a/crates/edge/src/run_store.rs
+++ b/crates/edge/src/run_store.rs
@@ -260,7 +260,8 @@
         update_gauges(&state);
         state.performance.borrow_mut().retain(now);
         let before = state.registry.borrow().last_change();
-        if state.registry.borrow_mut().tick(now) {
+        let connected = state.replica.borrow().in_contact(now);
+        if state.registry.borrow_mut().tick(now, connected) {
             let registry = state.registry.borrow();
             let known = |name: &str| registry.get(name).is_some();
             state.loads.borrow_mut().retain(known);
@@ -268,7 +269,8 @@
         let changed = state.registry.borrow().changed_since(now, before);
         for record in &changed {
             log::info!(
-                endpoint = &*record.announcement.name, silent = record.silent, age = record.age;
+                endpoint = &*record.announcement.name, silent = record.silent, age = record.age,
+                departed = record.departed;
                 "an endpoint's heartbeats have stopped or returned"
             );
         }
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -276,7 +276,7 @@
             return;
         }
         self.expired_at = now;
-        if !self.registry.tick(now) {
+        if !self.registry.tick(now, true) {
             return;
         }
         let registry = &self.registry;
