--- a/crates/announcements/src/departure.rs
+++ b/crates/announcements/src/departure.rs
@@ -78,9 +78,8 @@
         for name in silent {
             if let Some(known) = self.endpoints.get_mut(&name) {
                 known.departing_at = None;
-                known.departed = true;
             }
-            self.record_change(&name);
+            self.conclude_departure(&name);
         }
     }
 }
--- a/crates/announcements/src/known_endpoint.rs
+++ b/crates/announcements/src/known_endpoint.rs
@@ -26,7 +26,10 @@
     pub departed: bool,
     /// When a departure arrived that may be one of an earlier incarnation.
     pub(crate) departing_at: Option<Duration>,
-    /// Whether its last announcement is older than the registry's timeout.
+    /// Whether another endpoint holds its address.
+    pub(crate) displaced: bool,
+    /// Whether its last announcement is older than the registry's timeout, or another endpoint
+    /// holds its address.
     pub silent: bool,
     /// Number of the last change that is sent to entries.
     pub(crate) entry_change: u64,
--- a/crates/announcements/src/registry.rs
+++ b/crates/announcements/src/registry.rs
@@ -45,7 +45,7 @@
 /// Registry of the endpoints known to a store, by name.
 #[derive(Clone, Debug)]
 pub struct Registry {
-    /// Endpoint that owns each address: the one with the latest incarnation.
+    /// Endpoint that holds each address.
     pub(crate) addresses: HashMap<SocketAddrV4, Box<str>>,
     pub(crate) endpoints: BTreeMap<Box<str>, KnownEndpoint>,
     /// Names of the endpoints, by the number of their last change that is sent to entries.
@@ -98,7 +98,8 @@
         self.insert(now, record, false)
     }
 
-    /// Updates which endpoints are silent or have departed, and evicts departed or silent ones after [`TOMBSTONE_RETENTION`]; returns whether any was evicted. To be
+    /// Updates which endpoints are silent, have departed or hold their addresses, and evicts
+    /// departed or silent ones after [`TOMBSTONE_RETENTION`]; returns whether any was evicted. To be
     /// called a few times a second. `connected` says whether announcements reach this store: others
     /// would pass on what it does not receive itself.
     pub fn tick(&mut self, now: Duration, connected: bool) -> bool {
@@ -106,13 +107,14 @@
         self.observe(now, connected);
         self.update_silent(now);
         self.settle_departures(now);
+        self.settle_addresses(now);
         self.evict(now)
     }
 
     fn update_silent(&mut self, now: Duration) {
         let (timeout, mut last_change) = (self.timeout, self.last_change);
         for (name, known) in &mut self.endpoints {
-            let silent = known.is_quiet(now, timeout);
+            let silent = known.displaced || known.is_quiet(now, timeout);
             if silent != known.silent {
                 last_change += 1;
                 known.silent = silent;
@@ -166,7 +168,7 @@
         let Some(known) = self.endpoints.get_mut(name) else {
             return;
         };
-        let silent = known.is_quiet(now, self.timeout);
+        let silent = known.displaced || known.is_quiet(now, self.timeout);
         if silent != known.silent {
             known.silent = silent;
             self.last_change += 1;
@@ -239,6 +241,7 @@
         let name = known.announcement.name.clone();
         if std::mem::take(&mut known.departed) {
             self.record_change(&name);
+            self.settle_address(now, &name);
         }
         self.refresh_silent(now, &name);
         true
@@ -325,10 +328,9 @@
         page
     }
 
-    pub(crate) fn insert(&mut self, now: Duration, mut record: Record, direct: bool) -> bool {
+    pub(crate) fn insert(&mut self, now: Duration, record: Record, direct: bool) -> bool {
         let now = now + CLOCK_OFFSET;
         let last_announced = now.saturating_sub(Duration::from_millis(u64::from(record.age)));
-        record.departed |= self.superseded(&record);
         let name = record.announcement.name.clone();
         let rank = record.rank();
         let (renewal, cools, previous) = match self.endpoints.get(&name) {
@@ -342,7 +344,6 @@
         };
         self.last_change += 1;
         let last_change = self.last_change;
-        let address = record.announcement.address;
         let departed = record.departed;
         // A number of 0 is no change: a new endpoint is no renewal, so that it gets one below.
         let known = self.endpoints.entry(name.clone()).or_insert(KnownEndpoint {
@@ -352,6 +353,7 @@
             full_change: 0,
             departed,
             departing_at: None,
+            displaced: false,
             last_announced,
             restarted: false,
             silent: false,
@@ -367,7 +369,7 @@
         known.announcement = record.announcement;
         known.departed = departed;
         known.last_announced = previous.max(last_announced);
-        let silent = known.is_quiet(now, self.timeout);
+        let silent = known.displaced || known.is_quiet(now, self.timeout);
         if !renewal || known.silent != silent {
             let number = &mut known.entry_change;
             renumber(&mut self.entry_changes, number, last_change, &name);
@@ -382,7 +384,7 @@
         }
         self.index_key(&name);
         if !departed {
-            self.assign_address(address, &name);
+            self.settle_address(now, &name);
         }
         true
     }
--- a/crates/codes/src/lib.rs
+++ b/crates/codes/src/lib.rs
@@ -111,6 +111,7 @@
     AnnouncementConflict = 4003, Not, "The address is still held by another endpoint.";
     AnnouncementUnsafe = 4004, Not, "The announcement could not be copied to another store in time.";
     CallUnknown = 4005, Not, "There is no such call.";
+    AnnouncementUnlisted = 4006, Not, "The document names no such service as the announcement's.";
     DepartureUnknown = 4007, Not, "The store does not know that the endpoint is about to leave.";
     EditConflict = 5001, Not, "The section has changed since the edit's base version.";
     EditInvalid = 5002, Not, "The document would not be valid after the edit.";
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -132,6 +132,10 @@
         let advice = format!("`{}` is no endpoint's name", announcement.name);
         return Err((Code::AnnouncementMalformed, advice.into()));
     }
+    if !is_listed(state, &announcement) {
+        let advice = format!("no document names service `{}`", announcement.service);
+        return Err((Code::AnnouncementUnlisted, advice.into()));
+    }
     let now = state.clock.now();
     let (name, announced_state) = (announcement.name.clone(), announcement.state);
     let before = state.registry.borrow().last_change();
@@ -160,6 +164,20 @@
     }
 }
 
+/// Whether the document in force names an announced service, or the endpoint was known with it
+/// before the document dropped it. Other announcements change nothing: they may come from anyone.
+fn is_listed(state: &StoreState, announcement: &Announcement) -> bool {
+    let document = state.document.borrow();
+    let Some(document) = &*document else {
+        return true;
+    };
+    let service = &announcement.service;
+    let registry = state.registry.borrow();
+    let known = registry.get(&announcement.name);
+    document.services.contains(service)
+        || known.is_some_and(|known| known.announcement.service == *service)
+}
+
 async fn depart(
     state: &StoreState,
     name: &str,
--- a/crates/edge/src/run_store.rs
+++ b/crates/edge/src/run_store.rs
@@ -270,8 +270,8 @@
         for record in &changed {
             log::info!(
                 endpoint = &*record.announcement.name, silent = record.silent, age = record.age,
-                departed = record.departed;
-                "an endpoint's heartbeats have stopped or returned"
+                departed = record.departed, address = record.announcement.address.to_string();
+                "an endpoint's heartbeats have stopped or returned, or its address was reassigned"
             );
         }
         if !changed.is_empty() {
