--- a/crates/placement/src/endpoint.rs
+++ b/crates/placement/src/endpoint.rs
@@ -1,7 +1,10 @@
 //! An entry's state for one endpoint.
 
 use std::{
-    net::SocketAddrV4,
+    net::{
+        Ipv4Addr,
+        SocketAddrV4, //
+    },
     time::Duration, //
 };
 
@@ -34,10 +37,15 @@
     pub struct ServiceKey;
 }
 
-/// Retransmissions of a request after which its endpoint counts as unreachable: an endpoint that is
-/// merely slow acknowledges what it receives.
+/// Retransmissions of a request after which it shows that its endpoint may be unreachable: one that
+/// is merely slow acknowledges the first. The acknowledgement may be lost, or the client may receive
+/// nothing, so the requests of two clients have to show it.
 const UNREACHABLE_RETRANSMISSIONS: u32 = 2;
 
+/// Time within which two clients have to find an endpoint unreachable: longer than the longest
+/// retransmission interval of a client.
+const SUSPICION_TTL: Duration = Duration::from_secs(3);
+
 /// Weight of the latest sample in the moving mean of response times: about ten requests count.
 const RESPONSE_TIME_WEIGHT: f64 = 0.1;
 
@@ -58,6 +66,15 @@
     Silent,
 }
 
+/// A client whose request shows that an endpoint may be unreachable.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Suspicion {
+    /// When the request was last retransmitted.
+    at: Duration,
+    /// The client's host: all flows of a host share its network link.
+    host: Ipv4Addr,
+}
+
 /// An entry's state for one endpoint.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
@@ -116,6 +133,8 @@
     /// Moving mean of the time from a request's last packet to the first byte of its response, in
     /// seconds; none before the first response.
     pub(crate) response_time: Option<f64>,
+    /// The client that last found it unreachable, since its last answer.
+    pub(crate) suspicion: Option<Suspicion>,
     /// When a retransmission last showed that it is unreachable (see `record_retransmission`).
     pub(crate) unreachable_at: Option<Duration>,
 }
@@ -149,6 +168,7 @@
             shared_performance: Performance::default(),
             slots: 1,
             slow_until: Duration::ZERO,
+            suspicion: None,
             tag: 0,
             tracked: false,
             unreachable_at: None,
@@ -259,6 +279,7 @@
     /// Records an answer.
     pub(crate) fn record_answer(&mut self, now: Duration) {
         self.backoff = Backoff::default();
+        self.suspicion = None;
         self.unreachable_at = None;
         self.answered_at = Some(now);
     }
@@ -270,22 +291,36 @@
         self.response_time = Some(mean + (time - mean) * RESPONSE_TIME_WEIGHT);
     }
 
-    /// Records a retransmitted request; returns whether the endpoint is unreachable: it has
-    /// answered nothing since the request arrived, and some request was sent three times.
-    pub(crate) fn record_retransmission(&mut self, now: Duration, request: Request) -> bool {
+    /// Records a request that the client at `host` has retransmitted; returns whether the endpoint
+    /// is unreachable: it has answered nothing since the request arrived, and two clients have sent
+    /// some request three times.
+    pub(crate) fn record_retransmission(
+        &mut self,
+        now: Duration,
+        host: Ipv4Addr,
+        request: Request,
+    ) -> bool {
         // The first packet of a request may acknowledge data that the endpoint sent earlier.
         if self.answered_at.is_some_and(|at| at > request.first_at) {
             return false;
         }
         self.record_failure(now);
-        if request.retransmissions >= UNREACHABLE_RETRANSMISSIONS
-            || self.unreachable_since(now).is_some()
+        if self.unreachable_since(now).is_some()
+            || (request.retransmissions >= UNREACHABLE_RETRANSMISSIONS && self.suspect(now, host))
         {
             self.unreachable_at = Some(now);
         }
         self.unreachable_at == Some(now)
     }
 
+    /// Records that a client finds the endpoint unreachable; returns whether another one did, too.
+    fn suspect(&mut self, now: Duration, host: Ipv4Addr) -> bool {
+        let recent = |known: &Suspicion| now.saturating_sub(known.at) <= SUSPICION_TTL;
+        let other = self.suspicion.filter(recent);
+        self.suspicion = Some(Suspicion { at: now, host });
+        other.is_some_and(|other| other.host != host)
+    }
+
     /// When the endpoint was last unreachable, unless that has expired.
     pub(crate) fn unreachable_since(&self, now: Duration) -> Option<Duration> {
         self.unreachable_at
--- a/crates/placement/src/flow.rs
+++ b/crates/placement/src/flow.rs
@@ -101,14 +101,15 @@
         self
     }
 
-    /// Updates the flow and its endpoint from a packet of a kind of request; returns whether the
-    /// endpoint is unreachable.
+    /// Updates the flow with a key, and its endpoint, from a packet; returns whether the endpoint is
+    /// unreachable.
     pub fn record(
         &mut self,
         times: Times,
+        key: FlowKey,
         endpoint: &mut Endpoint,
         progress: Progress,
-        mut learning: Option<(&mut Learning, SocketAddrV4)>,
+        mut learning: Option<&mut Learning>,
     ) -> bool {
         let now = times.now;
         self.seen_at = now;
@@ -121,11 +122,11 @@
             endpoint.record_answer(now);
             let opened_at = self.opened_at.filter(|at| !times.congested_since(*at));
             self.round_trip = opened_at.map(|at| now.saturating_sub(at));
-            if let (Some((learning, _)), Some(time)) = (&mut learning, self.round_trip) {
+            if let (Some(learning), Some(time)) = (&mut learning, self.round_trip) {
                 learning.record_round_trip(endpoint.distance, time);
             }
         }
-        self.end_request(times, endpoint, progress, learning);
+        self.end_request(times, key, endpoint, progress, learning);
         if progress.closing && !self.closed {
             self.closed = true;
             endpoint.own_load.flows = endpoint.own_load.flows.saturating_sub(1);
@@ -136,7 +137,7 @@
                 let repeated = request.record(now, progress);
                 repeated
                     && !times.congested_since(request.first_at)
-                    && endpoint.record_retransmission(now, *request)
+                    && endpoint.record_retransmission(now, *key.client.ip(), *request)
             }
             None => {
                 if std::mem::replace(&mut self.carried, true) && endpoint.is_cold(now) {
@@ -177,9 +178,10 @@
     fn end_request(
         &mut self,
         times: Times,
+        key: FlowKey,
         endpoint: &mut Endpoint,
         progress: Progress,
-        learning: Option<(&mut Learning, SocketAddrV4)>,
+        learning: Option<&mut Learning>,
     ) {
         let now = times.now;
         let Some(request) = self.request else {
@@ -192,11 +194,11 @@
         if answered && request.retransmissions == 0 {
             endpoint.record_response_time(now.saturating_sub(request.last_at));
         }
-        if let Some((learning, kind)) = learning
+        if let Some(learning) = learning
             && answered
             && !times.congested_since(request.first_at)
         {
-            learning.record_answer(now, kind, endpoint, request, self.round_trip);
+            learning.record_answer(now, key.destination, endpoint, request, self.round_trip);
         }
         if answered || progress.closing {
             self.request = None;
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -323,8 +323,7 @@
                     sampled: self.ticked_at,
                 };
                 let learning = self.learning.as_mut().filter(|_| !paused);
-                let learning = learning.map(|learning| (learning, key.destination));
-                let unreachable = flow.record(times, endpoint, progress, learning);
+                let unreachable = flow.record(times, key, endpoint, progress, learning);
                 if endpoint.answered_at == Some(now) {
                     self.reachability.record_answer(now, endpoint.centre);
                 }
--- a/crates/placement/src/pool_endpoints.rs
+++ b/crates/placement/src/pool_endpoints.rs
@@ -80,6 +80,7 @@
             unreachable_at: existing.unreachable_at,
             answered_at: existing.answered_at,
             response_time: existing.response_time,
+            suspicion: existing.suspicion,
             external_load: existing.external_load,
             in_use: existing.in_use,
             mean_busy: existing.mean_busy,
@@ -101,6 +102,7 @@
             existing.unreachable_at = None;
             existing.answered_at = None;
             existing.response_time = None;
+            existing.suspicion = None;
             existing.mean_busy = MeanBusy::default();
             existing.own_load = Load::default();
             existing.own_performance = Performance::default();
