--- a/crates/announcements/src/announcement.rs
+++ b/crates/announcements/src/announcement.rs
@@ -7,6 +7,10 @@
     Serialize, //
 };
 
+/// Longest name in an announcement, in bytes. Stores send hundreds of announcements in one frame, and
+/// over links of a few megabits a second.
+const MAX_TEXT_BYTES: usize = 255;
+
 /// Whether an endpoint accepts flows, as announced by itself.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -41,3 +45,26 @@
     /// Remaining time of its slow start, in milliseconds.
     pub warmup: u32,
 }
+
+impl Announcement {
+    /// Checks that packets can be sent to its address, and that it takes little of what stores send
+    /// to each other and to entries.
+    ///
+    /// # Errors
+    ///
+    /// A description of the fault.
+    pub fn check(&self) -> Result<(), &'static str> {
+        let ip = self.address.ip();
+        let texts = [&self.centre, &self.name, &self.service];
+        match self.address.port() {
+            0 => Err("its port is 0"),
+            _ if ip.is_unspecified() || ip.is_broadcast() || ip.is_multicast() => {
+                Err("its address is not one of a host")
+            }
+            _ if texts.iter().any(|text| text.len() > MAX_TEXT_BYTES) => {
+                Err("a name is longer than 255 bytes")
+            }
+            _ => Ok(()),
+        }
+    }
+}
--- a/crates/announcements/src/registry.rs
+++ b/crates/announcements/src/registry.rs
@@ -329,6 +329,10 @@
     }
 
     pub(crate) fn insert(&mut self, now: Duration, record: Record, direct: bool) -> bool {
+        // Other stores and the disk may hold records that an earlier version has accepted.
+        if record.announcement.check().is_err() {
+            return false;
+        }
         let now = now + CLOCK_OFFSET;
         let last_announced = now.saturating_sub(Duration::from_millis(u64::from(record.age)));
         let name = record.announcement.name.clone();
--- a/crates/announcements/tests/registry.rs
+++ b/crates/announcements/tests/registry.rs
@@ -786,3 +786,40 @@
     registry.announce(at(2), announcement(name, 5, 99));
     sent_to_store(&registry, at(2), &mut cursor).1[0].key
 }
+
+/// Announcements that were accepted by an earlier version: they made the frames that stores send too
+/// large for any receiver.
+#[test]
+fn merge_odd_announcements() {
+    let plain = announcement("a", 5, 1);
+    let long: Box<str> = "x".repeat(256).into();
+    let odd = [
+        Announcement {
+            centre: long.clone(),
+            ..plain.clone()
+        },
+        Announcement {
+            name: long.clone(),
+            ..plain.clone()
+        },
+        Announcement {
+            service: long,
+            ..plain.clone()
+        },
+        Announcement {
+            address: "10.0.0.1:0".parse().unwrap(),
+            ..plain.clone()
+        },
+        Announcement {
+            address: "255.255.255.255:80".parse().unwrap(),
+            ..plain.clone()
+        },
+    ];
+    let mut registry = Registry::new(TIMEOUT);
+    for announcement in odd {
+        assert!(announcement.check().is_err());
+        assert!(!registry.merge(at(1), record(announcement, false)));
+    }
+    assert!(registry.merge(at(1), record(plain, false)));
+    assert_eq!(registry.iter().count(), 1);
+}
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -132,6 +132,9 @@
         let advice = format!("`{}` is no endpoint's name", announcement.name);
         return Err((Code::AnnouncementMalformed, advice.into()));
     }
+    if let Err(fault) = announcement.check() {
+        return Err((Code::AnnouncementMalformed, fault.into()));
+    }
     if !is_listed(state, &announcement) {
         let advice = format!("no document names service `{}`", announcement.service);
         return Err((Code::AnnouncementUnlisted, advice.into()));
