--- a/crates/announcements/src/lib.rs
+++ b/crates/announcements/src/lib.rs
@@ -12,6 +12,7 @@
 mod digest;
 mod known_endpoint;
 mod page;
+mod pages;
 mod rank;
 mod record;
 mod registry;
@@ -28,10 +29,10 @@
     digest::Digest,
     known_endpoint::KnownEndpoint,
     page::Page,
+    pages::Lack,
     rank::Rank,
     record::Record,
     registry::{
-        Lack,
         Registry,
         TOMBSTONE_RETENTION, //
     },
--- a/crates/announcements/src/registry.rs
+++ b/crates/announcements/src/registry.rs
@@ -14,12 +14,10 @@
 
 use crate::{
     announcement::Announcement,
-    cursor::Cursor,
     known_endpoint::{
         CLOCK_OFFSET,
         KnownEndpoint, //
     },
-    page::Page,
     record::Record,
     renewal::Renewal,
     state_change::StateChange, //
@@ -29,19 +27,6 @@
 /// than any record of it may be delayed.
 pub const TOMBSTONE_RETENTION: Duration = Duration::from_secs(600);
 
-/// What an entry lacks of an endpoint's record.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Lack {
-    /// It may lack all of it.
-    Everything,
-    /// It has the record as it is.
-    Nothing,
-    /// It may lack all of it, and takes whole records only.
-    Record,
-    /// It has all but the state.
-    State,
-}
-
 /// Registry of the endpoints known to a store, by name.
 #[derive(Clone, Debug)]
 pub struct Registry {
@@ -49,15 +34,15 @@
     pub(crate) addresses: HashMap<SocketAddrV4, Box<str>>,
     pub(crate) endpoints: BTreeMap<Box<str>, KnownEndpoint>,
     /// Names of the endpoints, by the number of their last change that is sent to entries.
-    entry_changes: BTreeMap<u64, Box<str>>,
+    pub(crate) entry_changes: BTreeMap<u64, Box<str>>,
     /// Names by their keys in renewals; none for a key that several names share.
-    keys: HashMap<u32, Option<Box<str>>>,
+    pub(crate) keys: HashMap<u32, Option<Box<str>>>,
     /// Number of the latest change; each accepted record is one, even a renewal.
-    last_change: u64,
+    pub(crate) last_change: u64,
     /// Since when announcements have arrived without a gap, plus [`CLOCK_OFFSET`].
     pub(crate) observing_since: Duration,
     /// Names of the endpoints, by the number of their last change that is sent to other stores.
-    store_changes: BTreeMap<u64, Box<str>>,
+    pub(crate) store_changes: BTreeMap<u64, Box<str>>,
     /// When silent endpoints were last looked for, plus [`CLOCK_OFFSET`].
     pub(crate) ticked_at: Duration,
     /// Time without an announcement after which an endpoint counts as silent.
@@ -192,34 +177,6 @@
         self.endpoints.values()
     }
 
-    /// Records that another store lacks if it has all changes up to `since`, oldest change first.
-    pub fn updated_since(&self, now: Duration, since: u64) -> Vec<Record> {
-        let page = self.page(now, &self.store_changes, since, usize::MAX, |_| true);
-        page.records
-    }
-
-    /// Records that an entry lacks if it has all changes up to `since`, oldest change first.
-    pub fn changed_since(&self, now: Duration, since: u64) -> Vec<Record> {
-        let page = self.page(now, &self.entry_changes, since, usize::MAX, |_| true);
-        page.records
-    }
-
-    /// The first `limit` of the records that another store lacks. Those that it knows up to their
-    /// last announcement are among the renewals.
-    pub fn updated_page(&self, now: Duration, cursor: Cursor, limit: usize) -> Page {
-        let mut page = self.page(now, &self.store_changes, cursor.sent(), limit, |_| true);
-        let renewal = |record: &Record| self.renewal(record, cursor);
-        page.renewals = page.records.iter().filter_map(renewal).collect();
-        page.records
-            .retain(|record| self.renewal(record, cursor).is_none());
-        page
-    }
-
-    /// Like [`Self::updated_page`], without renewals.
-    pub fn updated_page_in_full(&self, now: Duration, cursor: Cursor, limit: usize) -> Page {
-        self.page(now, &self.store_changes, cursor.sent(), limit, |_| true)
-    }
-
     /// Applies a renewal from another store; returns whether it was newer than the known record. An
     /// endpoint that renews its announcement after its departure has not left.
     pub fn renew(&mut self, now: Duration, renewal: Renewal) -> bool {
@@ -247,31 +204,6 @@
         true
     }
 
-    /// The first `limit` of the records that an entry lacks by what it was told, and by `lacks`,
-    /// which says what it knew before.
-    pub fn changed_page(
-        &self,
-        now: Duration,
-        cursor: Cursor,
-        limit: usize,
-        lacks: impl Fn(&KnownEndpoint) -> Lack,
-    ) -> Page {
-        let wanted = |known: &KnownEndpoint| lacks(known) != Lack::Nothing;
-        let mut page = self.page(now, &self.entry_changes, cursor.sent(), limit, wanted);
-        let state_change = |record: &Record| {
-            let known = self.endpoints.get(&record.announcement.name)?;
-            let base_known = match lacks(known) {
-                Lack::Everything => cursor.covers(known.base_change),
-                Lack::State => true,
-                Lack::Nothing | Lack::Record => false,
-            };
-            base_known.then(|| self.state_change(record)).flatten()
-        };
-        page.states = page.records.iter().filter_map(state_change).collect();
-        page.records.retain(|record| state_change(record).is_none());
-        page
-    }
-
     /// Applies a change of state from a store; returns the endpoint's name, or none if this
     /// registry does not know the endpoint or knows another incarnation.
     pub fn change_state(&mut self, now: Duration, change: StateChange) -> Option<Box<str>> {
@@ -297,37 +229,6 @@
         Some(name)
     }
 
-    /// Takes as many steps as there are changes after `since`, however many endpoints are known.
-    fn page(
-        &self,
-        now: Duration,
-        changes: &BTreeMap<u64, Box<str>>,
-        since: u64,
-        limit: usize,
-        wanted: impl Fn(&KnownEndpoint) -> bool,
-    ) -> Page {
-        let now = now + CLOCK_OFFSET;
-        let changes = changes.range(since.saturating_add(1)..);
-        let known = changes.filter_map(|(change, name)| Some((*change, self.endpoints.get(name)?)));
-        let mut page = Page {
-            more: false,
-            records: Vec::new(),
-            renewals: Vec::new(),
-            states: Vec::new(),
-            upto: since,
-        };
-        for (change, known) in known.filter(|(_, known)| wanted(known)) {
-            if page.records.len() >= limit {
-                page.more = true;
-                return page;
-            }
-            page.records.push(known.record(now));
-            page.upto = change;
-        }
-        page.upto = self.last_change;
-        page
-    }
-
     pub(crate) fn insert(&mut self, now: Duration, record: Record, direct: bool) -> bool {
         // Other stores and the disk may hold records that an earlier version has accepted.
         if record.announcement.check().is_err() {
@@ -393,37 +294,6 @@
         true
     }
 
-    /// The renewal that replaces a record for another store; none if that store lacks more of it.
-    fn renewal(&self, record: &Record, cursor: Cursor) -> Option<Renewal> {
-        let announcement = &record.announcement;
-        let known = self.endpoints.get(&announcement.name)?;
-        let key = name_key(&announcement.name);
-        let unique = self.keys.get(&key).is_some_and(Option::is_some);
-        (unique && cursor.covers(known.full_change) && !record.departed).then(|| Renewal {
-            age: record.age,
-            incarnation: incarnation_bits(announcement.incarnation),
-            key,
-            sequence: announcement.sequence,
-        })
-    }
-
-    /// The change of state that replaces a record for an entry that knows the endpoint; none if the
-    /// key of its name is not unique.
-    fn state_change(&self, record: &Record) -> Option<StateChange> {
-        let announcement = &record.announcement;
-        let key = name_key(&announcement.name);
-        let unique = self.keys.get(&key).is_some_and(Option::is_some);
-        unique.then(|| StateChange {
-            age: record.age,
-            departed: record.departed,
-            incarnation: incarnation_bits(announcement.incarnation),
-            key,
-            sequence: announcement.sequence,
-            silent: record.silent,
-            state: announcement.state,
-        })
-    }
-
     fn index_key(&mut self, name: &str) {
         let entry = self.keys.entry(name_key(name));
         let indexed = entry.or_insert_with(|| Some(name.into()));
@@ -434,14 +304,14 @@
 }
 
 /// Key of a name in renewals.
-fn name_key(name: &str) -> u32 {
+pub(crate) fn name_key(name: &str) -> u32 {
     let mut hasher = SipHasher13::new();
     hasher.write(name.as_bytes());
     let low = hasher.finish() & u64::from(u32::MAX);
     u32::try_from(low).unwrap_or_default()
 }
 
-fn incarnation_bits(incarnation: u64) -> u16 {
+pub(crate) fn incarnation_bits(incarnation: u64) -> u16 {
     u16::try_from(incarnation & u64::from(u16::MAX)).unwrap_or_default()
 }
 
