--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -188,13 +188,17 @@
 ) -> Result<Reply, Refusal> {
     let now = state.clock.now();
     let departure = state.registry.borrow_mut().depart(now, name, incarnation);
-    log::info!(endpoint = name, incarnation, outcome = format!("{departure:?}"); "a departure");
     match departure {
-        Departure::Applied(_) => {
+        Departure::Applied(change) => {
+            log::info!(endpoint = name, incarnation, change; "an endpoint has left");
             state.notify();
             wait_for_copies(state).await
         }
-        Departure::Awaited | Departure::Outdated => Ok(Reply::Done),
+        Departure::Awaited | Departure::Outdated => {
+            let outcome = format!("{departure:?}");
+            log::info!(endpoint = name, incarnation, outcome; "a departure may be an earlier one");
+            Ok(Reply::Done)
+        }
         Departure::Unknown => {
             let advice = "announce that it drains first, or call another store";
             Err((Code::DepartureUnknown, advice.into()))
--- a/crates/edge/src/run_store.rs
+++ b/crates/edge/src/run_store.rs
@@ -271,7 +271,7 @@
             log::info!(
                 endpoint = &*record.announcement.name, silent = record.silent, age = record.age,
                 departed = record.departed, address = record.announcement.address.to_string();
-                "an endpoint's heartbeats have stopped or returned, or its address was reassigned"
+                "an endpoint's heartbeats have stopped or returned"
             );
         }
         if !changed.is_empty() {
